Feature: A thin path from callers through entry vms to servers

Cause: there was nothing to run, so nothing to measure or to break. Change: one binary with entry, check, settings, events, standin and demo; settings and events from tables; an HTTP edge on Asio; a dispatcher that grants slots on owned servers; the configuration followed by a store watch; stand-ins for the platform and for servers; an open-loop load. Conclusion: the path works end to end; permits between entry vms come next.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Every target installs what it needs, so each works on a fresh machine as root.
+PRESET ?= release
+BUILD := build/$(PRESET)
+
+.PHONY: deps build demo test lint format clean
+
+deps:
+	@tools/install-deps.sh
+
+build: deps
+	@cmake --preset $(PRESET) >/dev/null
+	@cmake --build --preset $(PRESET)
+
+demo: build
+	@$(BUILD)/sniperock demo
+
+test: build
+	@ctest --preset $(PRESET)
+
+lint: deps
+	@tools/lint.sh
+
+format: deps
+	@clang-format-16 -i $$(git ls-files 'src/*.cpp' 'src/*.hpp')
+
+clean:
+	@rm -rf build
--- /dev/null
+++ b/src/cli_options.hpp
@@ -0,0 +1,20 @@
+/** @file cli_options.hpp Parses the options of one subcommand. */
+#pragma once
+
+#include "cli_func.hpp"
+
+#include <boost/program_options.hpp>
+
+#include <optional>
+
+namespace sniperock {
+
+/**
+ * Parses @p args by @p options, to which --help is added.
+ * @return empty if help was asked for and printed.
+ * @throws boost::program_options::error if an option is unknown, malformed or missing.
+ */
+std::optional<boost::program_options::variables_map>
+parse_options(boost::program_options::options_description& options, const arguments& args);
+
+} // namespace sniperock
--- /dev/null
+++ b/src/entry_node.cpp
@@ -0,0 +1,277 @@
+/** @file entry_node.cpp Wires the parts of an entry vm together. */
+#include "entry_node.hpp"
+#include "config_func.hpp"
+#include "dispatch.hpp"
+#include "edge_server.hpp"
+#include "event_type.hpp"
+#include "locate.hpp"
+#include "ownership_rendezvous.hpp"
+#include "page_server.hpp"
+#include "random_type.hpp"
+#include "store_client.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <iterator>
+#include <thread>
+
+namespace sniperock {
+namespace {
+
+constexpr milliseconds membership_period{250};
+constexpr milliseconds store_retry{200};
+
+edge_limits make_edge_limits(const entry_settings& settings)
+{
+    edge_limits limits;
+    limits.address = settings.caller_address;
+    limits.port = static_cast<std::uint16_t>(settings.caller_port);
+    limits.threads = static_cast<std::size_t>(settings.threads);
+    limits.max_connections = static_cast<std::size_t>(settings.max_connections);
+    limits.max_header_bytes = static_cast<std::size_t>(settings.max_header_bytes);
+    limits.header_timeout = settings.header_timeout;
+    limits.idle_timeout = settings.idle_timeout;
+    limits.default_deadline = settings.default_deadline;
+    return limits;
+}
+
+std::vector<owner_candidate> usable_candidates(const std::vector<vm_record>& vms,
+                                               const availability& out)
+{
+    std::vector<owner_candidate> candidates;
+    for (const auto& vm : vms) {
+        const bool usable = vm.state == vm_state::live && !out.vms_out.contains(vm.name) &&
+                            !out.domains_out.contains(vm.failure_domain);
+        if (usable) {
+            candidates.push_back({vm.name, vm.failure_domain});
+        }
+    }
+    return candidates;
+}
+
+} // namespace
+
+/** The parts and the threads that feed them. */
+struct entry_node::impl {
+    explicit impl(entry_settings with)
+        : settings(std::move(with)),
+          store(settings.store_address, static_cast<int>(settings.store_port),
+                settings.store_timeout),
+          slots(dispatch_limits{static_cast<std::size_t>(settings.queue_limit)}),
+          locator(settings.locate_keep, random_seed()),
+          edge(make_edge_limits(settings), slots, routers, locator, counters),
+          pages(settings.admin_address, static_cast<int>(settings.admin_port))
+    {
+        routers.set(std::make_shared<const edge_router>(std::make_shared<config_snapshot>()));
+    }
+
+    void start()
+    {
+        edge.start();
+        pages.start([this] { return status_json(); }, [this] { return healthy(); });
+        self = {settings.vm_name,
+                settings.failure_domain,
+                "",
+                settings.caller_address + ":" + std::to_string(edge.port()),
+                settings.admin_address + ":" + std::to_string(pages.port()),
+                random_seed(),
+                vm_state::live};
+        threads.emplace_back([this] { follow_config(); });
+        threads.emplace_back([this] { follow_members(); });
+        log_event(event::entry_started, {{"vm", settings.vm_name},
+                                         {"callers", self.caller_endpoint},
+                                         {"admin", self.admin_endpoint}});
+    }
+
+    void stop()
+    {
+        {
+            const std::lock_guard lock(mutex);
+            if (stopping) {
+                return;
+            }
+            stopping = true;
+        }
+        wake.notify_all();
+        store.cancel_watch();
+        std::ranges::for_each(threads, [](std::thread& thread) { thread.join(); });
+        threads.clear();
+        edge.stop();
+        pages.stop();
+        log_event(event::entry_stopped, {{"vm", settings.vm_name}});
+    }
+
+    /** Sleeps for @p time. @return false if the node is stopping. */
+    bool pause(milliseconds time)
+    {
+        std::unique_lock lock(mutex);
+        return !wake.wait_for(lock, time, [this] { return stopping; });
+    }
+
+    void follow_config()
+    {
+        object_version version = 0;
+        while (pause(milliseconds{0})) {
+            try {
+                const auto object = store.watch(config_key, version, settings.store_watch);
+                if (object) {
+                    version = object->version;
+                    apply_config(*object);
+                }
+            }
+            catch (const store_unavailable&) {
+                pause(store_retry);
+            }
+        }
+    }
+
+    void apply_config(const store_object& object)
+    {
+        try {
+            auto snapshot = parse_snapshot(object.value, config_key);
+            snapshot.revision.value = object.version;
+            const std::lock_guard lock(mutex);
+            config = std::make_shared<const config_snapshot>(std::move(snapshot));
+            routers.set(std::make_shared<const edge_router>(config));
+            assign_owners();
+            log_event(event::config_applied,
+                      {{"revision", std::to_string(config->revision.value)}});
+        }
+        catch (const invalid_input& fault) {
+            log_event(event::config_refused, {{"findings", fault.what()}});
+        }
+    }
+
+    void follow_members()
+    {
+        bool reachable = true;
+        while (pause(milliseconds{0})) {
+            try {
+                store.announce_vm(self);
+                auto records = store.list_vms();
+                const std::lock_guard lock(mutex);
+                vms = std::move(records);
+                assign_owners();
+                reachable = true;
+            }
+            catch (const store_unavailable& fault) {
+                if (std::exchange(reachable, false)) {
+                    log_event(event::store_lost, {{"reason", fault.what()}});
+                }
+            }
+            pause(membership_period);
+        }
+    }
+
+    /** Recomputes owners and locate answers; the caller holds the mutex. */
+    void assign_owners()
+    {
+        const auto candidates = usable_candidates(vms, config->out);
+        std::map<std::string, std::vector<server_entry>> owned;
+        std::map<std::string, std::set<std::string>> services_by_vm;
+        for (const auto& service : config->services) {
+            auto& mine = owned[service.name];
+            for (const auto& server : service.servers) {
+                if (config->out.domains_out.contains(server.failure_domain)) {
+                    continue;
+                }
+                const auto owner =
+                    choose_owner({service.name, server.name}, server.failure_domain, candidates,
+                                 static_cast<std::size_t>(settings.owners_per_domain));
+                services_by_vm[owner].insert(service.name);
+                if (owner == settings.vm_name) {
+                    mine.push_back(server);
+                }
+            }
+        }
+        slots.set_owned(owned);
+        std::vector<locate_entry> entries;
+        for (const auto& vm : vms) {
+            const auto& services = services_by_vm[vm.name];
+            const bool out = config->out.vms_out.contains(vm.name) ||
+                             config->out.domains_out.contains(vm.failure_domain);
+            entries.push_back({vm.name,
+                               vm.failure_domain,
+                               vm.caller_endpoint,
+                               out || vm.state == vm_state::leaving,
+                               {services.begin(), services.end()}});
+        }
+        locator.set_entries(std::move(entries));
+    }
+
+    nlohmann::json status_json()
+    {
+        nlohmann::json services = nlohmann::json::array();
+        for (const auto& item : slots.status()) {
+            services.push_back({{"service", item.service},
+                                {"owned_servers", item.owned_servers},
+                                {"slots", item.slots},
+                                {"in_flight", item.in_flight},
+                                {"waiting", item.waiting}});
+        }
+        const std::lock_guard lock(mutex);
+        return {{"vm", settings.vm_name},
+                {"failure_domain", settings.failure_domain},
+                {"version", SNIPEROCK_VERSION},
+                {"revision", config->revision.value},
+                {"answered", counters.answered.load()},
+                {"not_run", counters.not_run.load()},
+                {"unknown", counters.unknown.load()},
+                {"services", std::move(services)}};
+    }
+
+    bool healthy()
+    {
+        const std::lock_guard lock(mutex);
+        return config->revision.value > 0;
+    }
+
+    entry_settings settings;
+    store_client store;
+    dispatcher slots;
+    router_holder routers;
+    locate_service locator;
+    edge_counters counters;
+    edge_server edge;
+    page_server pages;
+    vm_record self;
+    std::mutex mutex;
+    std::condition_variable wake;
+    bool stopping = false;
+    std::shared_ptr<const config_snapshot> config = std::make_shared<const config_snapshot>();
+    std::vector<vm_record> vms;
+    std::vector<std::thread> threads;
+};
+
+entry_node::entry_node(entry_settings settings) : impl_(std::make_unique<impl>(std::move(settings)))
+{
+}
+
+entry_node::~entry_node()
+{
+    stop();
+}
+
+void entry_node::start()
+{
+    impl_->start();
+}
+
+void entry_node::stop()
+{
+    impl_->stop();
+}
+
+entry_ports entry_node::ports() const
+{
+    return {impl_->edge.port(), static_cast<std::uint16_t>(impl_->pages.port())};
+}
+
+config_revision entry_node::revision() const
+{
+    const std::lock_guard lock(impl_->mutex);
+    return impl_->config->revision;
+}
+
+} // namespace sniperock
--- /dev/null
+++ b/src/http_type.hpp
@@ -0,0 +1,70 @@
+/** @file http_type.hpp HTTP/1.1 message heads as plain values. */
+#pragma once
+
+#include <algorithm>
+#include <cctype>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sniperock {
+
+/** One header line. */
+struct http_header {
+    std::string name;
+    std::string value;
+};
+
+/** True if both are equal but for the case of ASCII letters. */
+inline bool equal_ignoring_case(std::string_view left, std::string_view right)
+{
+    return std::ranges::equal(left, right, [](unsigned char a, unsigned char b) {
+        return std::tolower(a) == std::tolower(b);
+    });
+}
+
+/** Header lines in the order received. */
+class http_headers {
+public:
+    /** Appends a line. */
+    void add(std::string name, std::string value)
+    {
+        lines_.push_back({std::move(name), std::move(value)});
+    }
+    /** The value of the first line called @p name, ignoring case. */
+    [[nodiscard]] std::optional<std::string_view> find(std::string_view name) const
+    {
+        const auto found = std::ranges::find_if(
+            lines_, [&](const http_header& line) { return equal_ignoring_case(line.name, name); });
+        return found == lines_.end() ? std::nullopt : std::optional<std::string_view>{found->value};
+    }
+    [[nodiscard]] const std::vector<http_header>& lines() const { return lines_; }
+    [[nodiscard]] std::vector<http_header>& lines() { return lines_; }
+    void clear() { lines_.clear(); }
+
+private:
+    std::vector<http_header> lines_;
+};
+
+/** How the length of a body is told. */
+enum class body_framing { none, length, chunked, until_close };
+
+/** Head of a request or response. */
+struct http_head {
+    /** Request only. */
+    std::string method;
+    /** Request only: path and query. */
+    std::string target;
+    /** Response only. */
+    int status = 0;
+    http_headers headers;
+    body_framing framing = body_framing::none;
+    /** Bytes of the body if framing is length. */
+    std::uint64_t body_length = 0;
+    /** The connection may be used for another message after this one. */
+    bool keep_alive = true;
+};
+
+} // namespace sniperock
--- /dev/null
+++ b/src/http_write.cpp
@@ -0,0 +1,120 @@
+/** @file http_write.cpp Serialises message heads and body framing. */
+#include "http_write.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <ranges>
+#include <utility>
+
+namespace sniperock {
+namespace {
+
+constexpr std::array<std::pair<int, std::string_view>, 24> phrases{{
+    {200, "OK"},
+    {201, "Created"},
+    {202, "Accepted"},
+    {204, "No Content"},
+    {206, "Partial Content"},
+    {304, "Not Modified"},
+    {400, "Bad Request"},
+    {401, "Unauthorized"},
+    {403, "Forbidden"},
+    {404, "Not Found"},
+    {405, "Method Not Allowed"},
+    {408, "Request Timeout"},
+    {409, "Conflict"},
+    {412, "Precondition Failed"},
+    {413, "Payload Too Large"},
+    {416, "Range Not Satisfiable"},
+    {422, "Unprocessable Entity"},
+    {429, "Too Many Requests"},
+    {431, "Request Header Fields Too Large"},
+    {500, "Internal Server Error"},
+    {501, "Not Implemented"},
+    {502, "Bad Gateway"},
+    {503, "Service Unavailable"},
+    {504, "Gateway Timeout"},
+}};
+
+constexpr std::array<std::string_view, 8> hop_by_hop_names{
+    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
+    "te",         "trailer",    "transfer-encoding",  "upgrade"};
+
+/** True if a Connection header of the message names @p name. */
+bool named_by_connection(const http_headers& headers, std::string_view name)
+{
+    const auto line = headers.find("connection");
+    if (!line) {
+        return false;
+    }
+    return std::ranges::any_of(std::views::split(*line, ','), [name](auto part) {
+        std::string_view token(part.begin(), part.end());
+        token.remove_prefix(std::min(token.find_first_not_of(" \t"), token.size()));
+        token = token.substr(0, token.find_last_not_of(" \t") + 1);
+        return equal_ignoring_case(token, name);
+    });
+}
+
+} // namespace
+
+std::string_view status_phrase(int status)
+{
+    const auto found = std::ranges::find(phrases, status, &std::pair<int, std::string_view>::first);
+    return found == phrases.end() ? std::string_view{"Status"} : found->second;
+}
+
+bool is_hop_by_hop(const http_headers& headers, std::string_view name)
+{
+    const bool listed = std::ranges::any_of(hop_by_hop_names, [name](std::string_view item) {
+        return equal_ignoring_case(item, name);
+    });
+    return listed || named_by_connection(headers, name);
+}
+
+void append_request_line(std::string& out, std::string_view method, std::string_view target)
+{
+    out.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+}
+
+void append_status_line(std::string& out, int status)
+{
+    out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
+    out.append(status_phrase(status)).append("\r\n");
+}
+
+void append_header(std::string& out, std::string_view name, std::string_view value)
+{
+    out.append(name).append(": ").append(value).append("\r\n");
+}
+
+void append_end_to_end_headers(std::string& out, const http_headers& headers)
+{
+    for (const auto& line : headers.lines()) {
+        if (!is_hop_by_hop(headers, line.name) &&
+            !equal_ignoring_case(line.name, "content-length")) {
+            append_header(out, line.name, line.value);
+        }
+    }
+}
+
+void append_framing(std::string& out, body_framing framing, std::uint64_t length)
+{
+    if (framing == body_framing::length) {
+        append_header(out, "Content-Length", std::to_string(length));
+    }
+    else if (framing != body_framing::none) {
+        append_header(out, "Transfer-Encoding", "chunked");
+    }
+}
+
+std::string chunk_prefix(std::size_t size)
+{
+    constexpr int hexadecimal = 16;
+    std::array<char, 20> digits{};
+    const auto result =
+        std::to_chars(digits.data(), digits.data() + digits.size(), size, hexadecimal);
+    return std::string(digits.data(), result.ptr) + "\r\n";
+}
+
+} // namespace sniperock
--- /dev/null
+++ b/src/pch.cpp
@@ -0,0 +1,2 @@
+/** @file pch.cpp Gives the precompiled header a translation unit. */
+#include "pch.hpp"
--- /dev/null
+++ b/src/pch.hpp
@@ -0,0 +1,24 @@
+/** @file pch.hpp Heavy third-party headers, precompiled once; sources still include what they use.
+ */
+#pragma once
+
+#include <asio.hpp>
+
+#include <easylogging++.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <ranges>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <unordered_map>
+#include <variant>
+#include <vector>
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,201 @@
+/** @file settings.cpp Parses INI text into settings by the settings table. */
+#include "settings_func.hpp"
+#include "table/settings_table.hpp"
+
+#include <ini.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstring>
+#include <fstream>
+#include <iomanip>
+#include <optional>
+#include <set>
+#include <sstream>
+
+namespace sniperock {
+namespace {
+
+/** Longest INI line, in bytes; the parser library cuts longer ones. */
+constexpr std::size_t max_line_bytes = 198;
+
+std::string full_name(const setting_descriptor& row)
+{
+    return std::string{row.section} + "." + std::string{row.name};
+}
+
+std::string range_text(const setting_descriptor& row)
+{
+    const bool is_text = std::holds_alternative<std::string entry_settings::*>(row.target);
+    const std::string unit = is_text ? "characters" : std::string{row.unit};
+    return std::to_string(row.min) + " to " + std::to_string(row.max) + " " + unit;
+}
+
+std::optional<std::int64_t> parse_integer(std::string_view text)
+{
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+/** Assigns one value. @return what is wrong with it, if anything. */
+std::optional<std::string> assign(entry_settings& settings, const setting_descriptor& row,
+                                  std::string_view text)
+{
+    if (const auto* member = std::get_if<std::string entry_settings::*>(&row.target)) {
+        const auto size = static_cast<std::int64_t>(text.size());
+        if (size < row.min || size > row.max) {
+            return "needs " + range_text(row) + ", has " + std::to_string(size);
+        }
+        settings.*(*member) = std::string{text};
+        return std::nullopt;
+    }
+    const auto value = parse_integer(text);
+    if (!value) {
+        return "\"" + std::string{text} + "\" is not a whole number; allowed are " +
+               range_text(row);
+    }
+    if (*value < row.min || *value > row.max) {
+        return std::string{text} + " is out of range; allowed are " + range_text(row);
+    }
+    if (const auto* number = std::get_if<std::int64_t entry_settings::*>(&row.target)) {
+        settings.*(*number) = *value;
+    }
+    else {
+        settings.*std::get<milliseconds entry_settings::*>(row.target) = milliseconds{*value};
+    }
+    return std::nullopt;
+}
+
+/** State of one parse; handed through the INI library's callbacks. */
+struct parse_state {
+    std::string_view rest;
+    std::string source;
+    int line = 0;
+    entry_settings settings;
+    std::set<std::string> seen;
+    finding_list findings;
+
+    void report(std::string place, std::string message)
+    {
+        findings.push_back({source, line, std::move(place), std::move(message)});
+    }
+};
+
+/** Hands the library the next line and counts it. */
+char* read_line(char* buffer, int size, void* stream)
+{
+    auto& state = *static_cast<parse_state*>(stream);
+    if (state.rest.empty()) {
+        return nullptr;
+    }
+    ++state.line;
+    const auto end = state.rest.find('\n');
+    auto line = state.rest.substr(0, end);
+    state.rest.remove_prefix(end == std::string_view::npos ? state.rest.size() : end + 1);
+    if (line.size() > max_line_bytes) {
+        state.report("", "line is longer than " + std::to_string(max_line_bytes) + " bytes");
+        line = {};
+    }
+    const auto length = std::min(line.size(), static_cast<std::size_t>(size) - 2);
+    std::memcpy(buffer, line.data(), length);
+    buffer[length] = '\n';
+    buffer[length + 1] = '\0';
+    return buffer;
+}
+
+int take_value(void* user, const char* section, const char* name, const char* value)
+{
+    auto& state = *static_cast<parse_state*>(user);
+    const auto row = std::ranges::find_if(settings_table, [&](const setting_descriptor& item) {
+        return item.section == section && item.name == name;
+    });
+    const std::string place = std::string{section} + "." + name;
+    if (row == settings_table.end()) {
+        state.report(place, "no such setting; see sniperock settings");
+        return 1;
+    }
+    if (!state.seen.insert(place).second) {
+        state.report(place, "is given twice");
+        return 1;
+    }
+    if (auto fault = assign(state.settings, *row, value)) {
+        state.report(place, std::move(*fault));
+    }
+    return 1;
+}
+
+std::string value_text(const entry_settings& settings, const setting_descriptor& row)
+{
+    if (const auto* text = std::get_if<std::string entry_settings::*>(&row.target)) {
+        return settings.*(*text);
+    }
+    if (const auto* number = std::get_if<std::int64_t entry_settings::*>(&row.target)) {
+        return std::to_string(settings.*(*number));
+    }
+    return std::to_string((settings.*std::get<milliseconds entry_settings::*>(row.target)).count());
+}
+
+} // namespace
+
+entry_settings parse_settings(std::string_view text, const std::string& source)
+{
+    parse_state state{text, source, 0, {}, {}, {}};
+    for (const auto& row : settings_table) {
+        if (!row.default_text.empty()) {
+            assign(state.settings, row, row.default_text);
+        }
+    }
+    const int error_line = ini_parse_stream(read_line, &state, take_value, &state);
+    if (error_line > 0) {
+        state.findings.push_back({source, error_line, "", "is neither [section] nor name = value"});
+    }
+    state.line = 0;
+    for (const auto& row : settings_table) {
+        if (row.flag == setting_flag::required && !state.seen.contains(full_name(row))) {
+            state.report(full_name(row), "is required: " + std::string{row.help});
+        }
+    }
+    if (!state.findings.empty()) {
+        throw invalid_input(std::move(state.findings));
+    }
+    return std::move(state.settings);
+}
+
+entry_settings load_settings(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf())) {
+        throw invalid_input({{path, 0, "", "cannot be read"}});
+    }
+    return parse_settings(text.str(), path);
+}
+
+std::string format_settings(const entry_settings& settings)
+{
+    std::ostringstream text;
+    for (const auto& row : settings_table) {
+        text << "[" << row.section << "]\n"
+             << row.name << " = " << value_text(settings, row) << "\n";
+    }
+    return text.str();
+}
+
+std::string list_settings()
+{
+    std::ostringstream text;
+    for (const auto& row : settings_table) {
+        const std::string shown =
+            row.flag == setting_flag::required ? "required" : std::string{row.default_text};
+        text << std::left << std::setw(30) << full_name(row) << std::setw(12) << row.unit
+             << std::setw(14) << shown << std::setw(34) << range_text(row) << row.help << "\n";
+    }
+    return text.str();
+}
+
+} // namespace sniperock
--- /dev/null
+++ b/src/table/event_table.hpp
@@ -0,0 +1,46 @@
+/** @file event_table.hpp The table of all log events. */
+#pragma once
+
+#include "../event_type.hpp"
+
+#include <array>
+
+namespace sniperock {
+
+/** Every event, by number. */
+inline constexpr std::array event_table{
+    // 1xx: process.
+    event_descriptor{event::entry_started, event_level::info, "process", "entry_started",
+                     "An entry process serves its addresses."},
+    event_descriptor{event::entry_stopped, event_level::info, "process", "entry_stopped",
+                     "An entry process has stopped; the fields say what was cut off."},
+    event_descriptor{event::settings_refused, event_level::error, "process", "settings_refused",
+                     "The settings file has faults; the process does not start."},
+    // 2xx: callers.
+    event_descriptor{event::caller_refused, event_level::debug, "callers", "caller_refused",
+                     "A request was refused before it reached a server."},
+    // 3xx: servers.
+    event_descriptor{event::server_failed, event_level::warning, "servers", "server_failed",
+                     "A server did not answer, or broke off an answer."},
+    // 4xx: ownership.
+    event_descriptor{event::epoch_adopted, event_level::info, "ownership", "epoch_adopted",
+                     "This vm adopted a newer ownership epoch."},
+    // 5xx: store.
+    event_descriptor{event::store_lost, event_level::warning, "store", "store_lost",
+                     "The object store stopped answering."},
+    event_descriptor{event::store_back, event_level::info, "store", "store_back",
+                     "The object store answers again."},
+    // 6xx: configuration.
+    event_descriptor{event::config_applied, event_level::info, "config", "config_applied",
+                     "A newer configuration revision is in force on this vm."},
+    event_descriptor{event::config_refused, event_level::error, "config", "config_refused",
+                     "A stored configuration revision has faults; the last good one stays."},
+    // 7xx: peers.
+    event_descriptor{event::peer_message_dropped, event_level::warning, "peers",
+                     "peer_message_dropped", "A message between entry vms was dropped."},
+    // 8xx: administration.
+    event_descriptor{event::admin_change, event_level::info, "admin", "admin_change",
+                     "An operator changed the configuration."},
+};
+
+} // namespace sniperock
