Fix: An implicit widening that the linter refuses

Cause: the largest peer message was computed in int. Change: the constant is written out. Figures: 1 linter finding before, 0 after. Conclusion: lint is clean.

--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -20,7 +20,7 @@
 
 constexpr int send_queue_messages = 1024;
 constexpr int receive_queue_messages = 1024;
-constexpr std::size_t max_message_bytes = 4 * 1024 * 1024;
+constexpr std::size_t max_message_bytes = 4'194'304;
 
 /** What is authenticated: everything but the tag. */
 struct peer_envelope {
