Feature: Tickets, cancellation and ownership calls of the dispatcher

Cause: callers that go away left their waiting calls behind, and ownership changes had no calls of their own. Change: acquire returns a ticket, cancel drops a waiting call; set_lease, gain, give_up, set_view and apply take ownership and configuration in.

--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -36,6 +36,71 @@
     }
 }
 
+void dispatcher::set_lease(local_time grant_until)
+{
+    lease_until_ = grant_until;
+}
+
+void dispatcher::gain(const std::vector<gained_server>& gained, local_time /*now*/,
+                      wall_time /*wall_now*/)
+{
+    for (const auto& item : gained) {
+        const std::unique_lock lock(shards_mutex_);
+        auto& shard = shards_[item.service];
+        if (!shard) {
+            shard = std::make_shared<service_shard>();
+        }
+        const std::lock_guard shard_lock(shard->mutex);
+        std::erase_if(shard->servers, [&](const server_slots& server) {
+            return server.entry.name == item.entry.name;
+        });
+        shard->servers.push_back(
+            {item.entry, static_cast<std::uint32_t>(item.state.outstanding.size())});
+    }
+}
+
+std::vector<server_handover> dispatcher::give_up(const std::vector<server_key>& servers,
+                                                 local_time /*now*/)
+{
+    std::vector<server_handover> result;
+    for (const auto& key : servers) {
+        const auto shard = find_shard(key.service);
+        if (!shard) {
+            continue;
+        }
+        const std::lock_guard lock(shard->mutex);
+        const auto erased = std::erase_if(shard->servers, [&](const server_slots& server) {
+            return server.entry.name == key.server;
+        });
+        if (erased > 0) {
+            result.push_back({key, 1, {}, {}});
+        }
+    }
+    return result;
+}
+
+void dispatcher::set_view(std::shared_ptr<const ownership_view> view)
+{
+    const std::lock_guard lock(knowledge_mutex_);
+    view_ = std::move(view);
+}
+
+void dispatcher::apply(std::shared_ptr<const config_snapshot> config)
+{
+    const std::lock_guard lock(knowledge_mutex_);
+    config_ = std::move(config);
+}
+
+bool dispatcher::cancel(call_ticket ticket)
+{
+    const std::shared_lock lock(shards_mutex_);
+    return std::ranges::any_of(shards_ | std::views::values, [&](const auto& shard) {
+        const std::lock_guard shard_lock(shard->mutex);
+        return std::erase_if(shard->waiting,
+                             [&](const waiting_call& call) { return call.ticket == ticket; }) > 0;
+    });
+}
+
 std::shared_ptr<dispatcher::service_shard> dispatcher::find_shard(const std::string& service) const
 {
     const std::shared_lock lock(shards_mutex_);
@@ -46,6 +111,9 @@
 std::optional<grant> dispatcher::take_slot(service_shard& shard, const call_spec& spec,
                                            local_time now, wall_time wall_now)
 {
+    if (now >= lease_until_.load()) {
+        return std::nullopt;
+    }
     const auto free = [&](const server_slots& server) {
         return server.in_flight < server.entry.slots && !tried_before(spec, server.entry.name);
     };
@@ -61,33 +129,35 @@
                  wall_now + left,           {}};
 }
 
-void dispatcher::acquire(const call_spec& spec, local_time now, wall_time wall_now,
-                         grant_handler done)
+call_ticket dispatcher::acquire(const call_spec& spec, local_time now, wall_time wall_now,
+                                grant_handler done)
 {
     const auto shard = find_shard(spec.service);
     if (!shard) {
         done(refusal{refusal_reason::unknown_service});
-        return;
+        return {};
     }
     std::unique_lock lock(shard->mutex);
     if (shard->servers.empty()) {
         lock.unlock();
         done(refusal{refusal_reason::no_servers, retry_when_full});
-        return;
+        return {};
     }
     if (shard->waiting.empty()) {
         if (auto taken = take_slot(*shard, spec, now, wall_now)) {
             lock.unlock();
             done(std::move(*taken));
-            return;
+            return {};
         }
     }
     if (shard->waiting.size() >= limits_.queue_limit) {
         lock.unlock();
         done(refusal{refusal_reason::queue_full, retry_when_full});
-        return;
+        return {};
     }
-    shard->waiting.push_back({spec, std::move(done)});
+    const call_ticket ticket{next_ticket_++};
+    shard->waiting.push_back({ticket, spec, std::move(done)});
+    return ticket;
 }
 
 std::vector<dispatcher::ready_call> dispatcher::serve_waiting(service_shard& shard, local_time now,
--- a/src/dispatch.hpp
+++ b/src/dispatch.hpp
@@ -2,10 +2,13 @@
 #pragma once
 
 #include "dispatch_type.hpp"
+#include "ownership_type.hpp"
+#include "peer_type.hpp"
 
 #include <atomic>
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -19,8 +22,29 @@
 struct dispatch_limits {
     /** Waiting calls per service. */
     std::size_t queue_limit = 1000;
+    /** Name of the balancing policy. */
+    std::string policy = "owner";
 };
 
+/** The vm that a dispatcher runs on. */
+struct dispatch_identity {
+    peer_identity self;
+    std::string failure_domain;
+};
+
+/** Sends a message to another entry vm without waiting; false if it cannot be queued. */
+using peer_send =
+    std::function<bool(const std::string& vm, peer_message_kind kind, const std::string& payload)>;
+
+/** The sending side of a link as a function. @param link must outlive the function. */
+template <peer_sender Link>
+peer_send send_through(Link& link)
+{
+    return [&link](const std::string& vm, peer_message_kind kind, const std::string& payload) {
+        return link.send(vm, kind, payload);
+    };
+}
+
 /** Counts of one service, for the pages. */
 struct service_status {
     std::string service;
@@ -36,14 +60,40 @@
  */
 class dispatcher {
 public:
-    explicit dispatcher(dispatch_limits limits) : limits_(limits) {}
+    /**
+     * @param identity the vm that grants.
+     * @param limits bounds of the queues.
+     * @param send reaches the other entry vms.
+     */
+    dispatcher(dispatch_identity identity, dispatch_limits limits, peer_send send)
+        : identity_(std::move(identity)), limits_(std::move(limits)), send_(std::move(send))
+    {
+    }
 
     /** Takes over which servers this vm owns in each service, with their places. */
     void set_owned(const std::map<std::string, std::vector<server_entry>>& owned);
+    /** Nothing is granted on owned servers at or after @p grant_until; unlimited until first set.
+     */
+    void set_lease(local_time grant_until);
+    /** Takes servers over. */
+    void gain(const std::vector<gained_server>& gained, local_time now, wall_time wall_now);
+    /** Stops granting on servers and returns their state, for their next owner. */
+    std::vector<server_handover> give_up(const std::vector<server_key>& servers, local_time now);
+    /** Replaces what is known of who owns what. */
+    void set_view(std::shared_ptr<const ownership_view> view);
+    /** Takes slots, allowances and availability over from a configuration revision. */
+    void apply(std::shared_ptr<const config_snapshot> config);
 
-    /** Asks for a slot; @p done is called at once or when a slot falls free or the deadline passes.
+    /**
+     * Asks for a slot. @p done is called once: at once, or when a slot falls free, or when the
+     * call cannot be answered in time; perhaps by another thread before this returns.
+     * @return what cancel() takes; 0 if @p done was called at once.
      */
-    void acquire(const call_spec& spec, local_time now, wall_time wall_now, grant_handler done);
+    call_ticket acquire(const call_spec& spec, local_time now, wall_time wall_now,
+                        grant_handler done);
+
+    /** Drops a waiting call. @return true if its handler was not called and never will be. */
+    bool cancel(call_ticket ticket);
 
     /** Gives a slot back and takes in what the call showed. */
     void release(const grant& used, const call_report& report, local_time now, wall_time wall_now);
@@ -60,6 +110,7 @@
         std::uint32_t in_flight = 0;
     };
     struct waiting_call {
+        call_ticket ticket;
         call_spec spec;
         grant_handler done;
     };
@@ -75,7 +126,14 @@
                                    wall_time wall_now);
     std::vector<ready_call> serve_waiting(service_shard& shard, local_time now, wall_time wall_now);
 
+    dispatch_identity identity_;
     dispatch_limits limits_;
+    peer_send send_;
+    std::atomic<local_time> lease_until_{local_time::max()};
+    std::atomic<std::uint64_t> next_ticket_{1};
+    std::mutex knowledge_mutex_;
+    std::shared_ptr<const ownership_view> view_;
+    std::shared_ptr<const config_snapshot> config_;
     mutable std::shared_mutex shards_mutex_;
     std::map<std::string, std::shared_ptr<service_shard>, std::less<>> shards_;
     std::atomic<std::uint64_t> next_permit_{1};
--- a/src/dispatch_type.hpp
+++ b/src/dispatch_type.hpp
@@ -77,6 +77,9 @@
     enum_name<server_phase>{server_phase::draining, "draining"},
 };
 
+/** Identifies a call that waits for a slot; 0 if it does not wait. */
+using call_ticket = strong_id<struct call_ticket_tag, std::uint64_t>;
+
 /** A call that wants a slot on some server of a service. */
 struct call_spec {
     std::string service;
@@ -137,6 +140,8 @@
     call_result result = call_result::answered;
     nanoseconds latency{0};
     std::optional<load_report> load;
+    /** The server answered with a status of 500 or above. */
+    bool server_error = false;
 };
 
 } // namespace sniperock
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -61,7 +61,9 @@
           store(settings.store_address, static_cast<int>(settings.store_port),
                 settings.store_timeout),
           link({settings.vm_name, life}, settings.peer_key_file),
-          slots(dispatch_limits{static_cast<std::size_t>(settings.queue_limit)}),
+          slots({{settings.vm_name, life}, settings.failure_domain},
+                {static_cast<std::size_t>(settings.queue_limit), settings.policy},
+                send_through(link)),
           locator(settings.locate_keep, random_seed()),
           edge(make_edge_limits(settings), slots, routers, locator, counters),
           pages(settings.admin_address, static_cast<int>(settings.admin_port))
--- a/src/tests/dispatch_test.cpp
+++ b/src/tests/dispatch_test.cpp
@@ -19,7 +19,7 @@
     }
 
     manual_clock clock;
-    dispatcher slots{dispatch_limits{2}};
+    dispatcher slots{{{"vm-a", incarnation{1}}, "north"}, {2, "owner"}, {}};
     std::vector<grant_result> results;
 };
 
@@ -38,6 +38,31 @@
     CHECK(test.results.size() == 3);
 }
 
+TEST_CASE("a cancelled call is not called back and leaves its place")
+{
+    fixture test;
+    test.ask();
+    test.ask();
+    const auto ticket =
+        test.slots.acquire({"portal", "gold", call_class::safe, test.clock.now() + seconds{1}, {}},
+                           test.clock.now(), test.clock.wall_now(),
+                           [&](grant_result result) { test.results.push_back(std::move(result)); });
+    REQUIRE(ticket.value != 0);
+    CHECK(test.slots.cancel(ticket));
+    CHECK_FALSE(test.slots.cancel(ticket));
+    test.slots.release(std::get<grant>(test.results[0]), {}, test.clock.now(),
+                       test.clock.wall_now());
+    CHECK(test.results.size() == 2);
+}
+
+TEST_CASE("nothing is granted without a lease")
+{
+    fixture test;
+    test.slots.set_lease(test.clock.now());
+    test.ask();
+    CHECK(test.results.empty());
+}
+
 TEST_CASE("a full queue and a passed deadline are refused")
 {
     fixture test;
