Feature: Permits between owners, fair queues, cold limits and policies

Cause: the dispatcher granted by arrival on its own servers only. Change: a call takes a slot on an owned server, else asks the best other owner for a permit with an absolute fence, else waits at the least crowded owner; waiting calls are served by start-time fair queuing between plans and by deadline within one; limits start cold, rise on evidence and fall at the first sign of cold; plans' limits are divided among a service's servers; probes follow slots of wall time. Policies are plug-ins.

--- a/src/dispatch.hpp
+++ b/src/dispatch.hpp
@@ -1,13 +1,9 @@
-/** @file dispatch.hpp Hands out the slots of the servers that this vm owns. */
+/** @file dispatch.hpp Hands out the slots of all services, here and by other owners' permits. */
 #pragma once
 
-#include "dispatch_type.hpp"
-#include "ownership_type.hpp"
-#include "peer_type.hpp"
+#include "dispatch_context.hpp"
+#include "dispatch_service.hpp"
 
-#include <atomic>
-#include <cstddef>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,20 +14,6 @@
 
 namespace sniperock {
 
-/** Limits of a dispatcher. */
-struct dispatch_limits {
-    /** Waiting calls per service. */
-    std::size_t queue_limit = 1000;
-    /** Name of the balancing policy. */
-    std::string policy = "owner";
-};
-
-/** The vm that a dispatcher runs on. */
-struct dispatch_identity {
-    peer_identity self;
-    std::string failure_domain;
-};
-
 /** Sends a message to another entry vm without waiting; false if it cannot be queued. */
 using peer_send =
     std::function<bool(const std::string& vm, peer_message_kind kind, const std::string& payload)>;
@@ -45,32 +27,23 @@
     };
 }
 
-/** Counts of one service, for the pages. */
-struct service_status {
-    std::string service;
-    std::size_t owned_servers = 0;
-    std::size_t slots = 0;
-    std::size_t in_flight = 0;
-    std::size_t waiting = 0;
-};
-
 /**
- * Grants slots on owned servers and queues calls while none is free. Each service is a shard
- * under its own lock; every member may be called from any thread.
+ * The dispatcher of one entry vm. Each service is a shard under its own lock; messages are sent
+ * and handlers called with no lock held. Every member may be called from any thread.
  */
 class dispatcher {
 public:
     /**
      * @param identity the vm that grants.
-     * @param limits bounds of the queues.
-     * @param send reaches the other entry vms.
+     * @param limits bounds of the queues and the policy.
+     * @param send reaches the other entry vms; may be empty.
+     * @param measured takes waits by plan; may be null; must outlive this.
+     * @throws unknown_plugin if there is no such policy.
      */
-    dispatcher(dispatch_identity identity, dispatch_limits limits, peer_send send)
-        : identity_(std::move(identity)), limits_(std::move(limits)), send_(std::move(send))
-    {
-    }
+    dispatcher(dispatch_identity identity, dispatch_limits limits, peer_send send,
+               metrics* measured = nullptr);
 
-    /** Takes over which servers this vm owns in each service, with their places. */
+    /** Takes over which servers this vm owns in each service; the rest is given up. */
     void set_owned(const std::map<std::string, std::vector<server_entry>>& owned);
     /** Nothing is granted on owned servers at or after @p grant_until; unlimited until first set.
      */
@@ -91,52 +64,60 @@
      */
     call_ticket acquire(const call_spec& spec, local_time now, wall_time wall_now,
                         grant_handler done);
-
     /** Drops a waiting call. @return true if its handler was not called and never will be. */
     bool cancel(call_ticket ticket);
-
-    /** Gives a slot back and takes in what the call showed. */
+    /** Gives a slot back and takes in what the call showed; exactly once for each grant. */
     void release(const grant& used, const call_report& report, local_time now, wall_time wall_now);
 
+    /** Takes in a permit message of another vm; other kinds are ignored. */
+    void on_message(const peer_message& message, local_time now, wall_time wall_now);
+    /** The process @p holder is gone: its permits are given back soon. */
+    void holder_gone(const peer_identity& holder, wall_time wall_now);
+
+    /** Moves everything on that waits for time to pass, and sends hints; call every few ms. */
+    void tick(local_time now, wall_time wall_now);
     /** Refuses every waiting call whose deadline has passed. */
     void expire(local_time now);
+    /** Probes to send now. */
+    std::vector<probe_order> take_probes(local_time now, wall_time wall_now);
+    /** @param report what a probe's answer said; empty if none came. */
+    void on_probe(const server_key& server, const std::optional<load_report>& report,
+                  local_time now, wall_time wall_now);
 
     /** Counts of every service. */
     [[nodiscard]] std::vector<service_status> status() const;
 
 private:
-    struct server_slots {
-        server_entry entry;
-        std::uint32_t in_flight = 0;
-    };
-    struct waiting_call {
-        call_ticket ticket;
-        call_spec spec;
-        grant_handler done;
-    };
     struct service_shard {
+        service_shard(const std::string& name, std::uint32_t number, dispatch_context& context)
+            : schedule(name, number, context)
+        {
+        }
         mutable std::mutex mutex;
-        std::vector<server_slots> servers;
-        std::deque<waiting_call> waiting;
+        service_schedule schedule;
     };
-    using ready_call = std::pair<grant_handler, grant_result>;
+    using shard_map = std::map<std::string, std::shared_ptr<service_shard>, std::less<>>;
 
     std::shared_ptr<service_shard> find_shard(const std::string& service) const;
-    std::optional<grant> take_slot(service_shard& shard, const call_spec& spec, local_time now,
-                                   wall_time wall_now);
-    std::vector<ready_call> serve_waiting(service_shard& shard, local_time now, wall_time wall_now);
-
-    dispatch_identity identity_;
-    dispatch_limits limits_;
+    std::shared_ptr<service_shard> make_shard(const std::string& service);
+    std::vector<std::shared_ptr<service_shard>> all_shards() const;
+    void carry_out(dispatch_effects effects);
+    void send_hints(const std::vector<outbound_hint>& hints);
+    void take_hints(const peer_message& message, moment at);
+    template <typename Message, typename Handle>
+    void take_in(const peer_message& message, Handle&& handle);
+    moment remember(local_time now, wall_time wall_now);
+    [[nodiscard]] moment latest() const;
+
+    dispatch_context context_;
     peer_send send_;
-    std::atomic<local_time> lease_until_{local_time::max()};
-    std::atomic<std::uint64_t> next_ticket_{1};
-    std::mutex knowledge_mutex_;
-    std::shared_ptr<const ownership_view> view_;
-    std::shared_ptr<const config_snapshot> config_;
     mutable std::shared_mutex shards_mutex_;
-    std::map<std::string, std::shared_ptr<service_shard>, std::less<>> shards_;
-    std::atomic<std::uint64_t> next_permit_{1};
+    shard_map shards_;
+    std::vector<std::shared_ptr<service_shard>> by_number_;
+    std::shared_ptr<const ownership_view> view_;
+    /** Wall time less local time, from the last call that gave both; in nanoseconds. */
+    std::atomic<std::int64_t> wall_offset_{0};
+    std::atomic<local_time> last_now_{};
 };
 
 } // namespace sniperock
--- a/src/ownership_type.hpp
+++ b/src/ownership_type.hpp
@@ -31,6 +31,8 @@
     std::vector<outstanding_permit> outstanding;
     /** Last active probe that the server's probe budget paid for; 1970 if there was none. */
     wall_time last_probe;
+    /** The next owner uses the server's part of the plans' limits from then on. */
+    wall_time limits_from;
 };
 
 /** How this vm came to own a server. */
