Feature: The dispatcher's clockwork, permit messages, probes and metrics in the entry process

Cause: nothing moved the dispatcher's time on or brought permit messages to it. Change: entry_schedule ticks it every 5 ms, subscribes to permit messages, sends probes within their slots and shows the counts as metrics and events; entry_node gives it configuration and the view of owners. A warm baseline needs 32 answers before a limit is cut by it: in the demo, with exponential service times, a first short answer made ordinary ones look out of line.

--- a/src/cold_limit.cpp
+++ b/src/cold_limit.cpp
@@ -19,6 +19,8 @@
 /** An answer up to this many times slower than normal counts towards the ramp. */
 constexpr double normal_factor = 4;
 constexpr double baseline_weight = 1.0 / 64;
+/** Answers that a baseline needs before it is trusted. */
+constexpr std::uint32_t answers_to_learn = 32;
 constexpr double recent_weight = 1.0 / 8;
 
 double count_of(nanoseconds time)
@@ -34,9 +36,15 @@
 {
 }
 
+nanoseconds cold_limit::baseline() const
+{
+    const bool trusted = learned_ >= answers_to_learn;
+    return nanoseconds{trusted ? static_cast<std::int64_t>(baseline_ns_) : 0};
+}
+
 bool cold_limit::out_of_line(const cold_evidence& seen) const
 {
-    if (baseline_ns_ <= 0) {
+    if (baseline() <= nanoseconds{0}) {
         return false;
     }
     // Peers that became slow as well show a heavier load, not a cold server.
@@ -46,15 +54,15 @@
 
 bool cold_limit::normal(const cold_evidence& seen) const
 {
-    const double usual = std::max(baseline_ns_, count_of(seen.peer_latency));
+    const double usual = count_of(std::max(baseline(), seen.peer_latency));
     return usual <= 0 || count_of(seen.latency) <= usual * normal_factor;
 }
 
 void cold_limit::learn(nanoseconds latency)
 {
-    const double value = count_of(latency);
-    baseline_ns_ =
-        baseline_ns_ <= 0 ? value : baseline_ns_ + (value - baseline_ns_) * baseline_weight;
+    learned_ = std::min(learned_ + 1, answers_to_learn * 2);
+    const double weight = std::max(1.0 / learned_, baseline_weight);
+    baseline_ns_ += (count_of(latency) - baseline_ns_) * weight;
 }
 
 bool cold_limit::on_answer(const cold_evidence& seen, local_time now)
--- a/src/cold_limit.hpp
+++ b/src/cold_limit.hpp
@@ -31,10 +31,7 @@
     [[nodiscard]] std::uint32_t current() const { return current_; }
     [[nodiscard]] bool is_warm() const { return current_ == slots_; }
     /** Normal latency while warm; 0 until learned. */
-    [[nodiscard]] nanoseconds baseline() const
-    {
-        return nanoseconds{static_cast<std::int64_t>(baseline_ns_)};
-    }
+    [[nodiscard]] nanoseconds baseline() const;
     /** Takes in a whole answer. @return true if it cut the limit. */
     bool on_answer(const cold_evidence& seen, local_time now);
     /** Falls back to the cold limit. @return true if the limit was above it. */
@@ -55,6 +52,7 @@
     local_time raised_;
     std::uint32_t normal_answers_ = 0;
     double baseline_ns_ = 0;
+    std::uint32_t learned_ = 0;
     double recent_ns_ = 0;
 };
 
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -3,6 +3,7 @@
 #include "config_func.hpp"
 #include "dispatch.hpp"
 #include "edge_server.hpp"
+#include "entry_schedule.hpp"
 #include "event_type.hpp"
 #include "locate.hpp"
 #include "metrics.hpp"
@@ -62,9 +63,9 @@
                 settings.store_timeout),
           link({settings.vm_name, life}, settings.peer_key_file),
           slots({{settings.vm_name, life}, settings.failure_domain},
-                {static_cast<std::size_t>(settings.queue_limit), settings.policy},
-                send_through(link)),
-          locator(settings.locate_keep, random_seed()),
+                {static_cast<std::size_t>(settings.queue_limit), settings.policy, random_seed()},
+                send_through(link), &measured),
+          schedule(slots, link, measured), locator(settings.locate_keep, random_seed()),
           edge(make_edge_limits(settings), slots, routers, locator, counters),
           pages(settings.admin_address, static_cast<int>(settings.admin_port))
     {
@@ -74,6 +75,7 @@
     void start()
     {
         edge.start();
+        schedule.start();
         link.start(settings.peer_address, static_cast<int>(settings.peer_port));
         pages.start([this] { return status_json(); }, [this] { return healthy(); },
                     [this] { return measured.text(); });
@@ -107,6 +109,7 @@
         edge.stop();
         pages.stop();
         link.stop();
+        schedule.stop();
         log_event(event::entry_stopped, {{"vm", settings.vm_name}});
     }
 
@@ -142,6 +145,7 @@
             const std::lock_guard lock(mutex);
             config = std::make_shared<const config_snapshot>(std::move(snapshot));
             routers.set(std::make_shared<const edge_router>(config));
+            slots.apply(config);
             assign_owners();
             log_event(event::config_applied,
                       {{"revision", std::to_string(config->revision.value)}});
@@ -191,6 +195,7 @@
         const auto candidates = usable_candidates(vms, config->out);
         std::map<std::string, std::vector<server_entry>> owned;
         std::map<std::string, std::set<std::string>> services_by_vm;
+        ownership_view view;
         for (const auto& service : config->services) {
             auto& mine = owned[service.name];
             for (const auto& server : service.servers) {
@@ -201,12 +206,14 @@
                     choose_owner({service.name, server.name}, server.failure_domain, candidates,
                                  static_cast<std::size_t>(settings.owners_per_domain));
                 services_by_vm[owner].insert(service.name);
+                view.owners[{service.name, server.name}] = owner;
                 if (owner == settings.vm_name) {
                     mine.push_back(server);
                 }
             }
         }
         slots.set_owned(owned);
+        slots.set_view(std::make_shared<const ownership_view>(std::move(view)));
         std::vector<locate_entry> entries;
         for (const auto& vm : vms) {
             const auto& services = services_by_vm[vm.name];
@@ -254,6 +261,7 @@
     store_client store;
     peer_link link;
     dispatcher slots;
+    entry_schedule schedule;
     router_holder routers;
     locate_service locator;
     edge_counters counters;
--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -18,6 +18,8 @@
     caller_refused = 200,
     // 3xx: servers.
     server_failed = 300,
+    server_standing_changed = 310,
+    server_limit_cut = 311,
     // 4xx: ownership.
     epoch_adopted = 400,
     // 5xx: store.
--- a/src/server_health.hpp
+++ b/src/server_health.hpp
@@ -3,7 +3,9 @@
 
 #include "clock_type.hpp"
 #include "dispatch_type.hpp"
+#include "enum_table.hpp"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 
@@ -18,6 +20,13 @@
     draining,
 };
 
+template <>
+inline constexpr std::array enum_names<server_standing>{
+    enum_name<server_standing>{server_standing::usable, "usable"},
+    enum_name<server_standing>{server_standing::suspended, "suspended"},
+    enum_name<server_standing>{server_standing::draining, "draining"},
+};
+
 /** What one server showed through its answers; pure. */
 class server_health {
 public:
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -22,6 +22,11 @@
     // 3xx: servers.
     event_descriptor{event::server_failed, event_level::warning, "servers", "server_failed",
                      "A server did not answer, or broke off an answer."},
+    event_descriptor{event::server_standing_changed, event_level::info, "servers",
+                     "server_standing_changed",
+                     "An owned server was suspended, drains, or takes work again."},
+    event_descriptor{event::server_limit_cut, event_level::info, "servers", "server_limit_cut",
+                     "An owned server showed a sign of cold; its limit was cut."},
     // 4xx: ownership.
     event_descriptor{event::epoch_adopted, event_level::info, "ownership", "epoch_adopted",
                      "This vm adopted a newer ownership epoch."},
