Fix: Repeated permit replies, replies to a former life and hand-overs of closed servers

A reply to a former life of the vm could match a new request's number, and a server closed for unknown permits was handed over as empty. Change: permits in use are known and not given back by a repeat; replies name the life that asked; a closed server's unknown permits go along in its hand-over.

--- a/src/dispatch_asks.cpp
+++ b/src/dispatch_asks.cpp
@@ -227,6 +227,7 @@
 {
     permit_reply message;
     message.request = to.request;
+    message.life = to.from.life.value;
     message.service = service_;
     message.answer = static_cast<std::uint8_t>(answer);
     if (slot != nullptr) {
@@ -331,9 +332,12 @@
         owner->second.lost_at = {};
     }
     const auto answer = static_cast<permit_answer>(message.answer);
-    const auto found = asks_.find(message.request);
+    const bool for_this_life = message.life == shared_.identity.self.life.value;
+    const auto found = for_this_life ? asks_.find(message.request) : asks_.end();
     if (found == asks_.end()) {
-        if (answer == permit_answer::granted) {
+        // A repeated reply for a permit in use must not give it back.
+        if (answer == permit_answer::granted &&
+            !held_permits_.contains(permit_id{message.permit})) {
             ++counts_.late_replies;
             permit_release back;
             back.request = message.request;
@@ -355,6 +359,7 @@
     }
     switch (answer) {
     case permit_answer::granted:
+        held_permits_.insert(permit_id{message.permit});
         settle(ticket,
                grant{permit_id{message.permit},
                      {service_, message.server},
--- a/src/dispatch_owned.cpp
+++ b/src/dispatch_owned.cpp
@@ -65,6 +65,14 @@
     state.limit = server->limit.current();
     state.last_probe = server->last_probe;
     state.limits_from = server->limits_from;
+    if (server->closed_until > at.wall) {
+        // Permits of an owner before this one may fill the server; their number is not known.
+        const outstanding_permit unknown{permit_id{}, {}, server->closed_until, {}};
+        state.outstanding.assign(server->entry.slots, unknown);
+        for (auto& permit : state.outstanding) {
+            permit.permit = draw_permit();
+        }
+    }
     std::erase_if(servers_, [&](const auto& item) { return item.get() == server; });
     for (auto& record : book_.take_server(name)) {
         state.outstanding.push_back({record.permit, record.holder.vm, record.fence, record.plan});
--- a/src/dispatch_service.cpp
+++ b/src/dispatch_service.cpp
@@ -42,6 +42,12 @@
     return call_ticket{ticket_base_ | next_ticket_++};
 }
 
+permit_id service_schedule::draw_permit()
+{
+    const std::uint64_t life = shared_.identity.self.life.value << permit_counter_bits;
+    return permit_id{life | shared_.next_permit++};
+}
+
 server_state* service_schedule::find_server(const std::string& name) const
 {
     const auto found = std::ranges::find_if(
@@ -179,8 +185,7 @@
     }
     const auto mean = plan->held.mean().count();
     queue_.charge(call.spec.plan, mean > 0 ? static_cast<double>(mean) : unknown_cost);
-    const std::uint64_t life = shared_.identity.self.life.value << permit_counter_bits;
-    const permit_id permit{life | shared_.next_permit++};
+    const auto permit = draw_permit();
     permit_record record{permit, server->entry.name, call.spec.plan, shared_.identity.self,
                          0,      call.fence,         at.now,         true,
                          false};
@@ -438,6 +443,7 @@
         message.slots = report.load->slots;
     }
     if (!used.owner.empty()) {
+        held_permits_.erase(used.permit);
         effects.messages.push_back(
             {used.owner, peer_message_kind::permit_release, encode_payload(message)});
         return;
--- a/src/dispatch_service.hpp
+++ b/src/dispatch_service.hpp
@@ -17,6 +17,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace sniperock {
@@ -180,6 +181,7 @@
     void observe_wait(const waiting_call& call, local_time now);
 
     call_ticket draw_ticket();
+    permit_id draw_permit();
     [[nodiscard]] bool hopeful(moment at) const;
     void leave_if_hopeless(moment at, dispatch_effects& effects);
     void apply_servers(const service_entry* entry, const availability& out, moment at);
@@ -208,6 +210,8 @@
     std::unordered_map<call_ticket, waiting_call> calls_;
     std::unordered_map<std::uint64_t, call_ticket> asks_;
     std::set<std::pair<local_time, call_ticket>> checks_;
+    /** Permits of other owners that calls of this vm use. */
+    std::unordered_set<permit_id> held_permits_;
     permit_book book_;
     /** Permits that went along in hand-overs and still count for their plan here. */
     permit_book handed_over_;
--- a/src/permit_type.hpp
+++ b/src/permit_type.hpp
@@ -45,6 +45,8 @@
 /** Answers a request; may come more than once for one request. */
 struct permit_reply {
     std::uint64_t request = 0;
+    /** Incarnation that asked; a later life of its vm must not take the reply for its own. */
+    std::uint64_t life = 0;
     std::string service;
     /** permit_answer. */
     std::uint8_t answer = 0;
@@ -56,8 +58,8 @@
     std::uint8_t reason = 0;
     std::int64_t retry_after_ms = 0;
     permit_hint hint;
-    MSGPACK_DEFINE(request, service, answer, permit, server, address, port, reason, retry_after_ms,
-                   hint)
+    MSGPACK_DEFINE(request, life, service, answer, permit, server, address, port, reason,
+                   retry_after_ms, hint)
 };
 
 /** Gives a permit back or withdraws a request; repeating it changes nothing. */
