Feature: Stand-in servers with phases and faults, and a checking open-loop load

Cause: the stand-in server had slots and a service time only, the load one thread and no check of bodies, so no promise could be shown broken. Change: the server's decisions (slots, queue, cold start that falls over, drain, shed, deadlines, lagging reports, slow spells) stand in a model with the time passed in; connections add cancellation, silence, dying at four points and ranged bodies. A ledger over all servers of a process finds doubles. The load runs on several threads, checks id, length, body and request digest, follows locate, and asks the ledger about calls that were told as not run.

--- a/src/demo.cpp
+++ b/src/demo.cpp
@@ -128,17 +128,19 @@
         plan.targets.push_back("127.0.0.1:" + std::to_string(node->ports().callers));
     }
     plan.duration = load_time;
-    plan.streams = {{"gold", "gold-key", "portal.example", "GET", "/status", 300},
-                    {"basic", "basic-key", "portal.example", "GET", "/status", 300},
-                    {"gold", "gold-key", "portal.example", "POST", "/bookings", 30},
-                    {"basic", "basic-key", "archive.example", "GET", "/scans/1", 100}};
+    for (const char* text : {"plan=gold key=gold-key host=portal.example path=/status rate=300",
+                             "plan=basic key=basic-key host=portal.example path=/status rate=300",
+                             "plan=gold key=gold-key host=portal.example method=POST rate=30",
+                             "plan=basic key=basic-key host=archive.example rate=100"}) {
+        plan.streams.push_back(parse_load_stream(text, "demo"));
+    }
     return plan;
 }
 
 /** True if no answer was lost, cut off, crossed or unknown. */
 bool promises_held(const load_result& result)
 {
-    return std::ranges::all_of(result | std::views::values, [](const load_counts& counts) {
+    return std::ranges::all_of(result.rows | std::views::values, [](const load_counts& counts) {
         return counts.cut_off == 0 && counts.crossed == 0 && counts.unknown == 0 &&
                counts.answered > 0;
     });
--- a/src/load_runner.cpp
+++ b/src/load_runner.cpp
@@ -1,244 +1,136 @@
-/** @file load_runner.cpp Open-loop load over kept-alive connections. */
-#include "edge_router.hpp"
-#include "edge_type.hpp"
-#include "http_parser.hpp"
-#include "http_write.hpp"
+/** @file load_runner.cpp Runs the parts of a load on threads and adds up what callers got. */
 #include "load_func.hpp"
-#include "random_type.hpp"
-
-#include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
-#include <asio/redirect_error.hpp>
-#include <asio/steady_timer.hpp>
-#include <asio/use_awaitable.hpp>
-#include <asio/write.hpp>
+#include "load_worker.hpp"
 
 #include <algorithm>
-#include <charconv>
-#include <deque>
-#include <iomanip>
-#include <random>
-#include <sstream>
+#include <condition_variable>
+#include <iostream>
+#include <mutex>
+#include <numeric>
+#include <thread>
 
 namespace sniperock {
 namespace {
 
-using asio::ip::tcp;
-
-constexpr std::size_t read_bytes = 16'384;
-constexpr std::size_t max_head_bytes = 65'536;
+constexpr seconds progress_period{2};
+/** Lets every thread be ready before the first call. */
+constexpr milliseconds start_delay{20};
 
-/** One call and the time it was meant to be sent at. */
-struct intended_call {
-    const load_stream* stream;
-    local_time at;
-    std::uint64_t number;
-};
+void add_counts(load_counts& into, const load_counts& part)
+{
+    static constexpr std::array fields{
+        &load_counts::sent,      &load_counts::answered, &load_counts::failed,
+        &load_counts::not_run,   &load_counts::unknown,  &load_counts::cut_off,
+        &load_counts::timed_out, &load_counts::not_sent, &load_counts::crossed,
+        &load_counts::damaged,   &load_counts::doubled,  &load_counts::retried};
+    std::ranges::for_each(fields, [&](auto field) { into.*field += part.*field; });
+    for (const auto& [reason, count] : part.reasons) {
+        into.reasons[reason] += count;
+    }
+    into.latencies.merge(part.latencies);
+}
 
-tcp::endpoint parse_endpoint(const std::string& text)
+void add_slice(timeline_slice& into, const timeline_slice& part)
 {
-    const auto colon = text.rfind(':');
-    std::uint16_t port = 0;
-    std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
-    return {asio::ip::make_address(text.substr(0, colon)), port};
+    into.sent += part.sent;
+    into.answered += part.answered;
+    into.not_run += part.not_run;
+    into.lost += part.lost;
+    into.longest = std::max(into.longest, part.longest);
 }
 
-/** Everything one run shares; used by one thread. */
-class load_run {
+/** Prints a line now and then until destroyed. */
+class progress_printer {
 public:
-    explicit load_run(const load_plan& plan) : plan_(plan), random_(plan.seed) {}
-
-    load_result run()
+    progress_printer(const std::vector<std::unique_ptr<load_worker>>& workers, local_time start)
+        : workers_(workers), start_(start), thread_([this] { print_lines(); })
     {
-        for (std::size_t at = 0; at < plan_.connections; ++at) {
-            asio::co_spawn(io_, connection(at), asio::detached);
-        }
-        end_ = boot_clock::now() + plan_.duration;
-        for (const auto& stream : plan_.streams) {
-            asio::co_spawn(io_, arrivals(stream), asio::detached);
-        }
-        io_.run();
-        return std::move(result_);
     }
-
-private:
-    asio::awaitable<void> arrivals(const load_stream& stream)
+    ~progress_printer()
     {
-        ++open_streams_;
-        asio::steady_timer timer(io_);
-        auto next = boot_clock::now();
-        std::exponential_distribution<double> gap(stream.rate);
-        while (next < end_) {
-            next += std::chrono::duration_cast<nanoseconds>(
-                std::chrono::duration<double>{gap(random_)});
-            timer.expires_after(next - boot_clock::now());
-            co_await timer.async_wait(asio::use_awaitable);
-            calls_.push_back({&stream, next, next_number_++});
-            wake_one();
-        }
-        if (--open_streams_ == 0) {
-            finished_ = true;
-            std::ranges::for_each(idle_, [](asio::steady_timer* waiting) { waiting->cancel(); });
+        {
+            const std::lock_guard lock(mutex_);
+            done_ = true;
         }
+        wake_.notify_all();
+        thread_.join();
     }
+    progress_printer(const progress_printer&) = delete;
+    progress_printer& operator=(const progress_printer&) = delete;
 
-    void wake_one()
-    {
-        if (!idle_.empty()) {
-            idle_.back()->cancel();
-            idle_.pop_back();
-        }
-    }
-
-    /** Waits for a call; empty when the run is over. */
-    asio::awaitable<std::optional<intended_call>> next_call()
-    {
-        asio::steady_timer timer(io_);
-        while (calls_.empty()) {
-            if (finished_) {
-                co_return std::nullopt;
-            }
-            timer.expires_at(asio::steady_timer::time_point::max());
-            idle_.push_back(&timer);
-            asio::error_code ignored;
-            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-            std::erase(idle_, &timer);
-        }
-        auto call = calls_.front();
-        calls_.pop_front();
-        co_return call;
-    }
-
-    asio::awaitable<void> connection(std::size_t number)
-    {
-        const auto endpoint = parse_endpoint(plan_.targets.at(number % plan_.targets.size()));
-        tcp::socket socket(io_);
-        std::string buffer(read_bytes, '\0');
-        while (const auto call = co_await next_call()) {
-            auto& counts = result_[{call->stream->plan, classify(call->stream->method)}];
-            ++counts.sent;
-            bool usable = false;
-            try {
-                if (!socket.is_open()) {
-                    co_await socket.async_connect(endpoint, asio::use_awaitable);
-                    socket.set_option(tcp::no_delay(true));
-                }
-                usable = co_await exchange(socket, buffer, *call, counts);
-            }
-            catch (const std::exception&) {
-                ++counts.cut_off;
-            }
-            if (!usable) {
-                asio::error_code ignored;
-                socket.close(ignored);
-            }
-        }
-    }
-
-    /** Sends one call and reads its answer. @return true if the connection can be used again. */
-    asio::awaitable<bool> exchange(tcp::socket& socket, std::string& buffer,
-                                   const intended_call& call, load_counts& counts)
+private:
+    void print_lines()
     {
-        const std::string id = std::to_string(call.number);
-        std::string out;
-        append_request_line(out, call.stream->method, call.stream->path);
-        append_header(out, "Host", call.stream->host);
-        append_header(out, edge_header::key, call.stream->key);
-        append_header(out, edge_header::timeout, std::to_string(plan_.timeout.count()));
-        append_header(out, "X-Request-Id", id);
-        if (classify(call.stream->method) != call_class::safe) {
-            append_header(out, "Content-Length", "0");
-        }
-        out += "\r\n";
-        co_await asio::async_write(socket, asio::buffer(out), asio::use_awaitable);
-        http_message_parser parser(http_side::response, max_head_bytes);
-        parser.reset(call.stream->method == "HEAD");
-        std::size_t used = 0;
-        std::size_t size = 0;
-        while (!parser.message_complete()) {
-            if (used == size) {
-                size = co_await socket.async_read_some(asio::buffer(buffer), asio::use_awaitable);
-                used = 0;
+        std::unique_lock lock(mutex_);
+        while (!wake_.wait_for(lock, progress_period, [this] { return done_; })) {
+            std::uint64_t sent = 0;
+            std::uint64_t ended = 0;
+            for (const auto& worker : workers_) {
+                sent += worker->sent();
+                ended += worker->ended();
             }
-            used += parser.feed(std::string_view{buffer}.substr(used, size - used));
-        }
-        take_answer(parser.head(), id, call, counts);
-        co_return parser.head().keep_alive;
-    }
-
-    static void take_answer(const http_head& head, const std::string& id, const intended_call& call,
-                            load_counts& counts)
-    {
-        const auto outcome =
-            from_name<call_outcome>(head.headers.find(edge_header::outcome).value_or("answered"));
-        if (outcome == call_outcome::not_run) {
-            ++counts.not_run;
-            return;
+            const auto passed =
+                std::chrono::duration_cast<seconds>(boot_clock::now() - start_).count();
+            std::cerr << passed << " s: " << sent << " calls sent, " << ended << " ended\n";
         }
-        if (outcome != call_outcome::answered) {
-            ++counts.unknown;
-            return;
-        }
-        if (head.headers.find("X-Request-Id").value_or("") != id) {
-            ++counts.crossed;
-            return;
-        }
-        ++counts.answered;
-        counts.latencies.push_back(
-            std::chrono::duration_cast<microseconds>(boot_clock::now() - call.at));
     }
 
-    const load_plan& plan_;
-    random_engine random_;
-    asio::io_context io_{1};
-    local_time end_;
-    std::deque<intended_call> calls_;
-    std::vector<asio::steady_timer*> idle_;
-    std::uint64_t next_number_ = 1;
-    std::size_t open_streams_ = 0;
-    bool finished_ = false;
-    load_result result_;
+    const std::vector<std::unique_ptr<load_worker>>& workers_;
+    local_time start_;
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    bool done_ = false;
+    std::thread thread_;
 };
 
 } // namespace
 
-load_result run_load(const load_plan& plan)
+void merge_result(load_result& into, load_result&& part)
 {
-    load_run run(plan);
-    return run.run();
+    for (const auto& [row, counts] : part.rows) {
+        add_counts(into.rows[row], counts);
+    }
+    into.timeline.resize(std::max(into.timeline.size(), part.timeline.size()));
+    for (std::size_t at = 0; at < part.timeline.size(); ++at) {
+        add_slice(into.timeline.at(at), part.timeline.at(at));
+    }
+    std::ranges::move(part.not_run_ids, std::back_inserter(into.not_run_ids));
+    into.most_connections += part.most_connections;
 }
 
-microseconds quantile(std::vector<microseconds> latencies, double share)
+load_counts total_counts(const load_result& result)
 {
-    if (latencies.empty()) {
-        return microseconds{0};
+    load_counts total;
+    for (const auto& [row, counts] : result.rows) {
+        add_counts(total, counts);
     }
-    const auto at = static_cast<std::size_t>(share * static_cast<double>(latencies.size() - 1));
-    std::ranges::nth_element(latencies, latencies.begin() + static_cast<std::ptrdiff_t>(at));
-    return latencies.at(at);
+    return total;
 }
 
-std::string format_result(const load_result& result)
+load_result run_load(const load_plan& plan)
 {
-    std::ostringstream text;
-    text << std::left << std::setw(12) << "plan" << std::setw(16) << "class" << std::right
-         << std::setw(8) << "sent" << std::setw(10) << "answered" << std::setw(9) << "not-run"
-         << std::setw(9) << "unknown" << std::setw(8) << "cut-off" << std::setw(8) << "crossed"
-         << std::setw(10) << "50% ms" << std::setw(10) << "99% ms" << std::setw(10) << "99.9% ms"
-         << "\n";
-    const auto to_ms = [](microseconds time) { return static_cast<double>(time.count()) / 1000; };
-    for (const auto& [row, counts] : result) {
-        text << std::left << std::setw(12) << row.first << std::setw(16) << to_name(row.second)
-             << std::right << std::setw(8) << counts.sent << std::setw(10) << counts.answered
-             << std::setw(9) << counts.not_run << std::setw(9) << counts.unknown << std::setw(8)
-             << counts.cut_off << std::setw(8) << counts.crossed << std::fixed
-             << std::setprecision(2) << std::setw(10) << to_ms(quantile(counts.latencies, 0.5))
-             << std::setw(10) << to_ms(quantile(counts.latencies, 0.99)) << std::setw(10)
-             << to_ms(quantile(counts.latencies, 0.999)) << "\n";
+    const auto count = std::max<std::size_t>(1, plan.threads);
+    std::vector<std::unique_ptr<load_worker>> workers;
+    for (std::size_t index = 0; index < count; ++index) {
+        workers.push_back(std::make_unique<load_worker>(plan, index, count));
+    }
+    const auto start = boot_clock::now() + start_delay;
+    {
+        std::unique_ptr<progress_printer> printer;
+        if (plan.progress) {
+            printer = std::make_unique<progress_printer>(workers, start);
+        }
+        std::vector<std::jthread> threads;
+        threads.reserve(workers.size());
+        for (const auto& worker : workers) {
+            threads.emplace_back([&worker, start] { worker->run(start); });
+        }
+    }
+    load_result result;
+    for (const auto& worker : workers) {
+        merge_result(result, worker->take_result());
     }
-    return text.str();
+    return result;
 }
 
 } // namespace sniperock
--- a/src/standin_server.hpp
+++ b/src/standin_server.hpp
@@ -1,58 +1,41 @@
-/** @file standin_server.hpp Stand-in for one server: slots, service time and a record of what ran.
+/** @file standin_server.hpp Stand-in for one server: slots, phases, faults and a record of what
+ * ran.
  */
 #pragma once
 
-#include "clock_type.hpp"
-#include "dispatch_type.hpp"
-#include "random_type.hpp"
+#include "standin_ledger.hpp"
+#include "standin_type.hpp"
 
-#include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
 
 #include <cstdint>
-#include <map>
 #include <memory>
-#include <mutex>
 #include <string>
 
 namespace sniperock {
 
-/** How a stand-in server behaves. */
-struct server_behaviour {
-    std::string name;
-    std::uint32_t slots = 3;
-    /** Calls at a time that it bears while cold. */
-    std::uint32_t cold_slots = 1;
-    /** Mean of the exponentially distributed service time; 0 answers at once. */
-    microseconds service_time{5000};
-    /** Size of each answer's body in bytes. */
-    std::size_t answer_bytes = 1024;
-    std::uint64_t seed = 1;
-};
-
-/** What a stand-in server saw. */
-struct server_record {
-    std::uint64_t calls = 0;
-    std::uint64_t probes = 0;
-    std::uint32_t in_flight = 0;
-    std::uint32_t most_in_flight = 0;
-    /** How often each call id ran. */
-    std::map<std::string, std::uint32_t> runs;
-};
-
-/** Serves HTTP on an io_context that its owner runs. */
+/** Serves HTTP on an io_context that its owner runs on one thread. */
 class standin_server {
 public:
-    standin_server(asio::io_context& io, server_behaviour behaviour);
+    /**
+     * @param io runs the server; it must outlive it and be run by one thread.
+     * @param ledger where requests that ran are entered; by default one of its own.
+     */
+    standin_server(asio::io_context& io, server_behaviour behaviour,
+                   std::shared_ptr<run_ledger> ledger = nullptr);
     ~standin_server();
     standin_server(const standin_server&) = delete;
     standin_server& operator=(const standin_server&) = delete;
 
-    /** Listens. @param port 0 takes a free one. @return the port. @throws std::system_error */
+    /** Listens. @param port 0 takes a free one. @return the port. @throws listen_failed */
     std::uint16_t start(const std::string& address, std::uint16_t port);
+    /** Closes the listening socket and every connection. */
     void stop();
+    /** Changes the phase; cold turns cold without warning. */
     void set_phase(server_phase phase);
+    /** Changes the behaviour; carried out on the io thread. */
+    void command(const server_command& order);
+    /** What it saw so far; from any thread. */
     [[nodiscard]] server_record record() const;
 
 private:
