--- a/src/peer_type.hpp
+++ b/src/peer_type.hpp
@@ -61,6 +61,8 @@
     std::string vm;
     /** address:port. */
     std::string endpoint;
+
+    friend auto operator<=>(const peer_address&, const peer_address&) = default;
 };
 
 /** A message that was authenticated. */
