Feature: Accept configuration changes by one head object, spread them between entry vms

Cause: the whole configuration stood in one store object that every vm watched and that anything could overwrite; there were no commands, no operators and no way on while the store is down. Change: a head object is the one point of acceptance; parts are immutable objects. Vms offer what they have in force to each other; a few watch the store. Changes of availability hold unrecorded while the store does not answer and are recorded by any vm later. An administration API with keys and roles. Store calls are counted and held to a budget with priorities.

--- a/src/config_json.cpp
+++ b/src/config_json.cpp
@@ -239,6 +239,24 @@
     return result;
 }
 
+admin_entry read_admin(const json& item, std::string place, const std::string& source,
+                       finding_list& findings)
+{
+    object_reader reader(item, std::move(place), source, findings);
+    admin_entry result;
+    result.name = reader.name("name");
+    const auto role = from_name<admin_role>(reader.text("role"));
+    if (!role) {
+        reader.report("role", "must be read, operate or administer");
+    }
+    result.role = role.value_or(admin_role::read);
+    result.key_hashes = reader.texts("key_hashes", true);
+    if (!std::ranges::all_of(result.key_hashes, is_key_hash)) {
+        reader.report("key_hashes", "each must be a SHA-256 in 64 lower-case hex digits");
+    }
+    return result;
+}
+
 service_entry read_service(const json& item, std::string place, const std::string& source,
                            finding_list& findings)
 {
@@ -283,6 +301,11 @@
             {"slots", item.slots}, {"cold_slots", item.cold_slots}};
 }
 
+json to_json(const admin_entry& item)
+{
+    return {{"name", item.name}, {"role", to_name(item.role)}, {"key_hashes", item.key_hashes}};
+}
+
 json to_json(const service_entry& item)
 {
     json servers = json::array();
@@ -381,6 +404,25 @@
     return result;
 }
 
+std::vector<admin_entry> parse_admins(const std::string& text, const std::string& source)
+{
+    finding_list findings;
+    std::vector<admin_entry> result;
+    const json document = parse_json(text, source);
+    {
+        object_reader reader(document, "", source, findings);
+        check_schema(reader);
+        reader.each("admins", true, [&](const json& item, std::string place) {
+            result.push_back(read_admin(item, std::move(place), source, findings));
+        });
+    }
+    check_unique(
+        result, [](const admin_entry& item) { return item.name; }, "admin", source, "/admins",
+        findings);
+    throw_if_any(std::move(findings));
+    return result;
+}
+
 std::string format_plans(const std::vector<plan>& plans)
 {
     return format_list("plans", plans);
@@ -396,6 +438,11 @@
     return format_list("services", services);
 }
 
+std::string format_admins(const std::vector<admin_entry>& admins)
+{
+    return format_list("admins", admins);
+}
+
 std::string format_availability(const availability& out)
 {
     return json{
@@ -425,31 +472,4 @@
     return findings;
 }
 
-std::string format_snapshot(const config_snapshot& snapshot)
-{
-    return json{{"revision", snapshot.revision.value},
-                {"plans", json::parse(format_plans(snapshot.plans))},
-                {"allowances", json::parse(format_allowances(snapshot.allowances))},
-                {"services", json::parse(format_services(snapshot.services))},
-                {"availability", json::parse(format_availability(snapshot.out))}}
-        .dump();
-}
-
-config_snapshot parse_snapshot(const std::string& text, const std::string& source)
-{
-    const json document = parse_json(text, source);
-    try {
-        config_snapshot snapshot;
-        snapshot.revision.value = document.at("revision");
-        snapshot.plans = parse_plans(document.at("plans").dump(), source);
-        snapshot.allowances = parse_allowances(document.at("allowances").dump(), source);
-        snapshot.services = parse_services(document.at("services").dump(), source);
-        snapshot.out = parse_availability(document.at("availability").dump(), source);
-        return snapshot;
-    }
-    catch (const json::exception& fault) {
-        throw invalid_input({{source, 0, "/", fault.what()}});
-    }
-}
-
 } // namespace sniperock
--- a/src/config_type.hpp
+++ b/src/config_type.hpp
@@ -1,8 +1,10 @@
 /** @file config_type.hpp The operators' lists as plain values. */
 #pragma once
 
+#include "enum_table.hpp"
 #include "strong_id.hpp"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -61,13 +63,35 @@
     std::set<std::string> vms_out;
 };
 
+/** What a key of the administration API may do; each role includes those before it. */
+enum class admin_role { read, operate, administer };
+
+template <>
+inline constexpr std::array enum_names<admin_role>{
+    enum_name<admin_role>{admin_role::read, "read"},
+    enum_name<admin_role>{admin_role::operate, "operate"},
+    enum_name<admin_role>{admin_role::administer, "administer"},
+};
+
+/** An operator, known by keys. */
+struct admin_entry {
+    std::string name;
+    admin_role role = admin_role::read;
+    /** SHA-256 of each accepted key, in lower-case hex; several during a rotation. */
+    std::vector<std::string> key_hashes;
+};
+
 /** One accepted revision of the whole configuration; never changed once made. */
 struct config_snapshot {
     config_revision revision;
     std::vector<plan> plans;
     std::vector<allowance> allowances;
     std::vector<service_entry> services;
+    /** In force: recorded changes and those not recorded yet. */
     availability out;
+    std::vector<admin_entry> admins;
+    /** Number of changes in @ref out that the store does not hold yet. */
+    std::size_t unrecorded = 0;
 };
 
 /** Names one server in the whole system: service and server name. */
--- a/src/demo.cpp
+++ b/src/demo.cpp
@@ -1,5 +1,5 @@
 /** @file demo.cpp The whole system in one process, while a failure domain leaves and returns. */
-#include "config_func.hpp"
+#include "config_repository.hpp"
 #include "demo_func.hpp"
 #include "entry_node.hpp"
 #include "hash_func.hpp"
@@ -104,13 +104,6 @@
     return settings;
 }
 
-/** Writes the configuration over whatever version is stored. */
-void put_config(store_client& store, const config_snapshot& config)
-{
-    const auto present = store.get(config_key);
-    store.put(config_key, format_snapshot(config), present ? present->version : 0);
-}
-
 void wait_until_in_force(const std::vector<std::unique_ptr<entry_node>>& nodes,
                          std::uint64_t revision)
 {
@@ -154,7 +147,7 @@
     demo_servers servers;
     auto config = make_config(servers);
     store_client store("127.0.0.1", store_port, seconds{1});
-    put_config(store, config);
+    config_bootstrap(store, config);
 
     std::vector<std::unique_ptr<entry_node>> nodes;
     for (std::size_t number = 0; number < entry_count; ++number) {
@@ -173,11 +166,11 @@
     std::this_thread::sleep_for(out_after);
     std::cout << "taking failure domain south out" << std::endl;
     config.out.domains_out.insert("south");
-    put_config(store, config);
+    config_bootstrap(store, config);
     std::this_thread::sleep_for(back_after);
     std::cout << "taking failure domain south back" << std::endl;
     config.out.domains_out.erase("south");
-    put_config(store, config);
+    config_bootstrap(store, config);
     load.join();
     std::cout << format_result(result)
               << "most in flight on one server: " << servers.most_in_flight() << " of "
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -1,8 +1,8 @@
 /** @file entry_node.cpp Wires the parts of an entry vm together. */
 #include "entry_node.hpp"
-#include "config_func.hpp"
 #include "dispatch.hpp"
 #include "edge_server.hpp"
+#include "entry_config.hpp"
 #include "event_type.hpp"
 #include "locate.hpp"
 #include "metrics.hpp"
@@ -22,7 +22,6 @@
 namespace {
 
 constexpr milliseconds membership_period{250};
-constexpr milliseconds store_retry{200};
 
 edge_limits make_edge_limits(const entry_settings& settings)
 {
@@ -64,9 +63,12 @@
           slots(dispatch_limits{static_cast<std::size_t>(settings.queue_limit)}),
           locator(settings.locate_keep, random_seed()),
           edge(make_edge_limits(settings), slots, routers, locator, counters),
-          pages(settings.admin_address, static_cast<int>(settings.admin_port))
+          pages(settings.admin_address, static_cast<int>(settings.admin_port)),
+          configuration(settings, link, measured)
     {
         routers.set(std::make_shared<const edge_router>(std::make_shared<config_snapshot>()));
+        configuration.subscribe([this](const auto& snapshot) { apply_config(snapshot); });
+        configuration.mount(pages.server());
     }
 
     void start()
@@ -82,7 +84,7 @@
                 settings.admin_address + ":" + std::to_string(pages.port()),
                 life.value,
                 vm_state::live};
-        threads.emplace_back([this] { follow_config(); });
+        configuration.start();
         threads.emplace_back([this] { follow_members(); });
         log_event(event::entry_started, {{"vm", settings.vm_name},
                                          {"callers", self.caller_endpoint},
@@ -99,7 +101,7 @@
             stopping = true;
         }
         wake.notify_all();
-        store.cancel_watch();
+        configuration.stop();
         std::ranges::for_each(threads, [](std::thread& thread) { thread.join(); });
         threads.clear();
         edge.stop();
@@ -115,38 +117,12 @@
         return !wake.wait_for(lock, time, [this] { return stopping; });
     }
 
-    void follow_config()
+    void apply_config(const std::shared_ptr<const config_snapshot>& snapshot)
     {
-        object_version version = 0;
-        while (pause(milliseconds{0})) {
-            try {
-                const auto object = store.watch(config_key, version, settings.store_watch);
-                if (object) {
-                    version = object->version;
-                    apply_config(*object);
-                }
-            }
-            catch (const store_unavailable&) {
-                pause(store_retry);
-            }
-        }
-    }
-
-    void apply_config(const store_object& object)
-    {
-        try {
-            auto snapshot = parse_snapshot(object.value, config_key);
-            snapshot.revision.value = object.version;
-            const std::lock_guard lock(mutex);
-            config = std::make_shared<const config_snapshot>(std::move(snapshot));
-            routers.set(std::make_shared<const edge_router>(config));
-            assign_owners();
-            log_event(event::config_applied,
-                      {{"revision", std::to_string(config->revision.value)}});
-        }
-        catch (const invalid_input& fault) {
-            log_event(event::config_refused, {{"findings", fault.what()}});
-        }
+        const std::lock_guard lock(mutex);
+        config = snapshot;
+        routers.set(std::make_shared<const edge_router>(config));
+        assign_owners();
     }
 
     void follow_members()
@@ -156,6 +132,7 @@
             try {
                 store.announce_vm(self);
                 auto records = store.list_vms();
+                configuration.set_vms(records);
                 const std::lock_guard lock(mutex);
                 vms = std::move(records);
                 connect_peers();
@@ -229,11 +206,13 @@
                                 {"in_flight", item.in_flight},
                                 {"waiting", item.waiting}});
         }
+        auto configured = configuration.status();
         const std::lock_guard lock(mutex);
         return {{"vm", settings.vm_name},
                 {"failure_domain", settings.failure_domain},
                 {"version", SNIPEROCK_VERSION},
                 {"revision", config->revision.value},
+                {"configuration", std::move(configured)},
                 {"answered", counters.answered.load()},
                 {"not_run", counters.not_run.load()},
                 {"unknown", counters.unknown.load()},
@@ -257,6 +236,7 @@
     edge_counters counters;
     edge_server edge;
     page_server pages;
+    entry_config configuration;
     vm_record self;
     std::mutex mutex;
     std::condition_variable wake;
--- a/src/entry_node.hpp
+++ b/src/entry_node.hpp
@@ -38,7 +38,4 @@
     std::unique_ptr<impl> impl_;
 };
 
-/** Key of the store object that holds the configuration. */
-inline constexpr const char* config_key = "config";
-
 } // namespace sniperock
--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -26,10 +26,13 @@
     // 6xx: configuration.
     config_applied = 600,
     config_refused = 601,
+    take_out_unrecorded = 610,
+    take_out_settled = 611,
     // 7xx: peers.
     peer_message_dropped = 700,
     // 8xx: administration.
     admin_change = 800,
+    admin_refused = 801,
 };
 
 /** How much an event matters. */
--- a/src/page_server.cpp
+++ b/src/page_server.cpp
@@ -9,7 +9,8 @@
 namespace sniperock {
 namespace {
 
-constexpr std::size_t page_threads = 4;
+/** Each open connection holds one. */
+constexpr std::size_t page_threads = 16;
 constexpr int http_unavailable = 503;
 
 } // namespace
@@ -71,6 +72,11 @@
     }
 }
 
+httplib::Server& page_server::server()
+{
+    return impl_->server;
+}
+
 int page_server::port() const
 {
     return impl_->port;
--- a/src/page_server.hpp
+++ b/src/page_server.hpp
@@ -7,6 +7,10 @@
 #include <memory>
 #include <string>
 
+namespace httplib {
+class Server;
+}
+
 namespace sniperock {
 
 /** The operators' pages of one process. */
@@ -28,6 +32,8 @@
     void start(std::function<nlohmann::json()> status, std::function<bool()> healthy,
                std::function<std::string()> measured);
     void stop();
+    /** The HTTP server, to add routes to before start(). */
+    httplib::Server& server();
     [[nodiscard]] int port() const;
 
 private:
--- a/src/settings_type.hpp
+++ b/src/settings_type.hpp
@@ -29,6 +29,10 @@
     std::int64_t store_port{};
     milliseconds store_timeout{};
     milliseconds store_watch{};
+    std::int64_t store_rate{};
+    std::int64_t store_burst{};
+    std::int64_t config_watchers{};
+    std::string admin_first_key_hash;
     std::int64_t threads{};
     std::int64_t max_connections{};
     std::int64_t max_header_bytes{};
--- a/src/standin_platform.cpp
+++ b/src/standin_platform.cpp
@@ -52,6 +52,12 @@
     return {put_status::accepted, present + 1};
 }
 
+void platform_objects::remove(const std::string& key)
+{
+    const std::lock_guard lock(mutex_);
+    objects_.erase(key);
+}
+
 std::optional<store_object> platform_objects::watch(const std::string& key, object_version after,
                                                     milliseconds wait)
 {
@@ -63,7 +69,8 @@
     if (!changed_.wait_for(lock, wait, newer) || stopped_) {
         return std::nullopt;
     }
-    return objects_.at(key);
+    const auto found = objects_.find(key);
+    return found == objects_.end() ? std::nullopt : std::optional{found->second};
 }
 
 void platform_objects::stop()
@@ -147,6 +154,14 @@
         response.set_header(store_protocol::version_header, std::to_string(result.version));
     }
 
+    void handle_delete(const httplib::Request& request, httplib::Response& response)
+    {
+        ++writes;
+        if (admit(response)) {
+            objects.remove(request.matches[1]);
+        }
+    }
+
     void handle_watch(const httplib::Request& request, httplib::Response& response)
     {
         ++watches;
@@ -233,6 +248,9 @@
         server.Put("/v1/objects/(.+)", [this](request_type request, response_type response) {
             handle_put(request, response);
         });
+        server.Delete("/v1/objects/(.+)", [this](request_type request, response_type response) {
+            handle_delete(request, response);
+        });
         server.Get("/v1/watch/(.+)", [this](request_type request, response_type response) {
             handle_watch(request, response);
         });
--- a/src/standin_platform.hpp
+++ b/src/standin_platform.hpp
@@ -40,6 +40,8 @@
     std::optional<store_object> get(const std::string& key);
     /** Writes if the version is still @p expected. */
     put_result put(const std::string& key, std::string value, object_version expected);
+    /** Removes an object, if there is one. */
+    void remove(const std::string& key);
     /** Waits until the version is above @p after or @p wait has passed. */
     std::optional<store_object> watch(const std::string& key, object_version after,
                                       milliseconds wait);
--- a/src/store_client.cpp
+++ b/src/store_client.cpp
@@ -100,6 +100,15 @@
     return {put_status::unavailable, 0};
 }
 
+void store_client::remove(const std::string& key)
+{
+    const std::lock_guard lock(calls_mutex_);
+    const auto result = calls_->client.Delete(store_protocol::object_path + key);
+    if (!result || (result->status != http_ok && result->status != http_not_found)) {
+        fail("remove " + key, result);
+    }
+}
+
 std::optional<store_object> store_client::watch(const std::string& key, object_version after,
                                                 milliseconds wait)
 {
--- a/src/store_client.hpp
+++ b/src/store_client.hpp
@@ -29,6 +29,8 @@
     std::optional<store_object> get(const std::string& key);
     /** Writes an object if its version is still @p expected; 0 creates it. */
     put_result put(const std::string& key, const std::string& value, object_version expected);
+    /** Removes an object; one that does not exist is no error. @throws store_unavailable */
+    void remove(const std::string& key);
     /** Waits up to @p wait for a version above @p after; empty if none came. @throws
      * store_unavailable */
     std::optional<store_object> watch(const std::string& key, object_version after,
--- a/src/store_protocol.hpp
+++ b/src/store_protocol.hpp
@@ -3,7 +3,7 @@
 
 namespace sniperock::store_protocol {
 
-/** Followed by a key: GET reads, PUT writes conditionally. */
+/** Followed by a key: GET reads, PUT writes conditionally, DELETE removes. */
 inline constexpr const char* object_path = "/v1/objects/";
 /** Followed by a key: GET waits for a version above ?after= for ?wait_ms= milliseconds. */
 inline constexpr const char* watch_path = "/v1/watch/";
--- a/src/store_type.hpp
+++ b/src/store_type.hpp
@@ -85,4 +85,9 @@
     } -> std::same_as<std::vector<vm_record>>;
 };
 
+/** An object store that also removes objects; remove throws store_unavailable. */
+template <typename T>
+concept removable_object_store =
+    object_store<T> && requires(T& store, const std::string& key) { store.remove(key); };
+
 } // namespace sniperock
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -35,12 +35,20 @@
                      "A newer configuration revision is in force on this vm."},
     event_descriptor{event::config_refused, event_level::error, "config", "config_refused",
                      "A stored configuration revision has faults; the last good one stays."},
+    event_descriptor{event::take_out_unrecorded, event_level::warning, "config",
+                     "take_out_unrecorded",
+                     "A change of availability holds, and the store has not recorded it yet."},
+    event_descriptor{event::take_out_settled, event_level::info, "config", "take_out_settled",
+                     "A change of availability that was unrecorded has been recorded, was "
+                     "replaced, or is too old to be recorded."},
     // 7xx: peers.
     event_descriptor{event::peer_message_dropped, event_level::warning, "peers",
                      "peer_message_dropped", "A message between entry vms was dropped."},
     // 8xx: administration.
     event_descriptor{event::admin_change, event_level::info, "admin", "admin_change",
-                     "An operator changed the configuration."},
+                     "An operator asked for a change; the fields say who, what and how it ended."},
+    event_descriptor{event::admin_refused, event_level::warning, "admin", "admin_refused",
+                     "A request to the administration API had no valid key."},
 };
 
 } // namespace sniperock
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -47,6 +47,18 @@
                        setting_flag::optional, "Longest wait for one store call, watches excepted"},
     setting_descriptor{"store", "watch", &entry_settings::store_watch, "ms", "10000", 100, 300'000,
                        setting_flag::optional, "How long one watch call waits for a change"},
+    setting_descriptor{"store", "rate", &entry_settings::store_rate, "calls/s", "20", 1, 10'000,
+                       setting_flag::optional,
+                       "Calls a second to the store, watches counted, in the long run"},
+    setting_descriptor{"store", "burst", &entry_settings::store_burst, "calls", "1000", 10, 100'000,
+                       setting_flag::optional, "Calls to the store at once after a rest"},
+    // Configuration.
+    setting_descriptor{"config", "watchers", &entry_settings::config_watchers, "vms", "3", 1, 1000,
+                       setting_flag::optional,
+                       "Vms of a cell that watch the store; the others hear from them"},
+    setting_descriptor{"admin", "first_key_sha256", &entry_settings::admin_first_key_hash, "", "",
+                       0, 64, setting_flag::optional,
+                       "SHA-256 in hex of the key that is valid until operators are listed"},
     // Callers' connections.
     setting_descriptor{"callers", "threads", &entry_settings::threads, "threads", "2", 1, 64,
                        setting_flag::optional, "Threads that serve callers"},
