--- a/src/demo_system.cpp
+++ b/src/demo_system.cpp
@@ -1,6 +1,6 @@
 /** @file demo_system.cpp The parts of the demonstration: platform, servers and entry vms. */
 #include "demo_system.hpp"
-#include "config_func.hpp"
+#include "config_repository.hpp"
 #include "hash_func.hpp"
 #include "settings_func.hpp"
 
@@ -89,8 +89,7 @@
 
 void demo_system::put_config()
 {
-    const auto present = store_.get(config_key);
-    store_.put(config_key, format_snapshot(config_), present ? present->version : 0);
+    config_bootstrap(store_, config_);
 }
 
 void demo_system::start()
