Change: The model can follow owners in turn over three epochs

Cause: with every choice of owner and members three epochs are too many states to search whole. Change: -DOWNERS_IN_TURN bounds who follows whom. Conclusion: three epochs get a bounded search of their own.

--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -12,7 +12,8 @@
  * an owner that may grant within CALM_TICKS.
  *
  * -DWITHOUT_CALLS leaves permits and calls out, -DWITHOUT_CRASHES leaves vms alive and
- * -DWITHOUT_STORE_READS lets only majorities confirm, so that EPOCHS=3 can be searched whole.
+ * -DWITHOUT_STORE_READS lets only majorities confirm, -DOWNERS_IN_TURN has vm 0 followed by vm 1 and
+ * that by vm 2 or vm 0, so that EPOCHS=3 can be searched whole.
  *
  * Wrong variants that the checker must reject are compiled with -DWRONG_...; see Makefile.
  */
@@ -275,11 +276,18 @@
 
 /* propose: any vm that knows the newest epoch commits the next by conditional update; who of those
    that live is a member and the owner is chosen freely. */
+#ifdef OWNERS_IN_TURN
+#define PROPOSE(v, w) \
+    :: d_step { newest < EPOCHS && v == w && in(alive, v) && epoch[v] == newest && \
+        (v == newest || (v == 0 && newest == 2)) -> \
+        newest++; owner[newest] = v; members[newest] = alive }
+#else
 #define PROPOSE(v, w) \
     :: d_step { newest < EPOCHS && in(alive, v) && epoch[v] == newest && in(alive, w) -> \
         newest++; owner[newest] = w; members[newest] = alive } \
     :: d_step { newest < EPOCHS && in(alive, v) && epoch[v] == newest && in(alive, w) && v != w -> \
         newest++; owner[newest] = w; members[newest] = bit(v) | bit(w) }
+#endif
 
 /* adopt: from the store, or an older one from a peer that knows no better. */
 #define ADOPT(v) \
