--- a/src/edge_router.cpp
+++ b/src/edge_router.cpp
@@ -102,6 +102,17 @@
     return call_class::non_idempotent;
 }
 
+std::optional<milliseconds> parse_retry_after(std::string_view text)
+{
+    constexpr std::uint32_t day_s = 86'400;
+    std::uint32_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size() || value > day_s) {
+        return std::nullopt;
+    }
+    return seconds{value};
+}
+
 std::optional<load_report> parse_load(std::string_view text)
 {
     load_report report;
--- a/src/edge_router.hpp
+++ b/src/edge_router.hpp
@@ -39,6 +39,9 @@
 /** The class of a request by its method and whether it carries an idempotency key. */
 call_class classify(std::string_view method);
 
+/** Parses a Retry-After header that gives seconds; empty if it gives anything else. */
+std::optional<milliseconds> parse_retry_after(std::string_view text);
+
 /** Parses a server's load header; empty if malformed. */
 std::optional<load_report> parse_load(std::string_view text);
 
--- a/src/edge_server.cpp
+++ b/src/edge_server.cpp
@@ -2,92 +2,123 @@
 #include "edge_server.hpp"
 #include "edge_session.hpp"
 
-#include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
-#include <asio/io_context.hpp>
-#include <asio/redirect_error.hpp>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
-#include <asio/use_awaitable.hpp>
 
-#include <set>
+#include <algorithm>
+#include <condition_variable>
+#include <future>
 #include <thread>
 #include <vector>
 
 namespace sniperock {
 namespace {
 
-constexpr milliseconds sweep_period{20};
-constexpr seconds upstream_idle{30};
+constexpr milliseconds sweep_period{100};
+constexpr milliseconds expire_period{20};
+constexpr milliseconds accept_pause{20};
+constexpr milliseconds drain_step{5};
 
 /** One io thread with its own connections. */
 class edge_worker {
 public:
-    edge_worker(const edge_limits& limits, dispatcher& slots, router_holder& routers,
-                locate_service& locator, edge_counters& counters)
-        : sweep_timer_(io_),
-          context_{limits, slots, routers, locator, counters, upstream_pool(io_.get_executor())}
-    {
-    }
+    explicit edge_worker(const edge_parts& parts) : timer_(io_), context_(io_, parts) {}
 
     asio::io_context& io() { return io_; }
 
     void start()
     {
-        asio::co_spawn(io_, sweep(), asio::detached);
-        thread_ = std::thread([this] { io_.run(); });
+        thread_ = std::thread([this] {
+            context_.thread = std::this_thread::get_id();
+            next_sweep_ = boot_clock::now() + sweep_period;
+            tick();
+            io_.run();
+        });
     }
 
+    /** Closes everything on the worker's own thread and ends it. */
     void stop()
     {
+        if (!thread_.joinable()) {
+            return;
+        }
         asio::post(io_, [this] {
-            stopping_ = true;
-            sweep_timer_.cancel();
             for (const auto& session : sessions_) {
                 session->close();
             }
+            sessions_.clear();
+            context_.pool.clear();
+            context_.timers.stop();
+            io_.stop();
+        });
+        thread_.join();
+    }
+
+    /** Answers no more than one call on each connection from now on. */
+    void begin_drain()
+    {
+        asio::post(io_, [this] { context_.draining = true; });
+    }
+
+    /** Closes connections without a call. */
+    void close_idle()
+    {
+        asio::post(io_, [this] {
+            std::ranges::for_each(sessions_, [](const auto& session) { session->close_if_idle(); });
         });
-        io_.stop();
-        if (thread_.joinable()) {
-            thread_.join();
-        }
     }
 
     /** Takes a connection over; called from any thread. */
-    void adopt(asio::ip::tcp::socket socket)
+    void adopt(int handle, asio::ip::tcp protocol, bool refused)
     {
-        asio::post(io_, [this, socket = std::move(socket)]() mutable {
-            auto session = std::make_shared<edge_session>(std::move(socket), context_);
-            sessions_.insert(session);
-            asio::co_spawn(io_, session->run(), [this, session](const std::exception_ptr&) {
-                sessions_.erase(session);
-                context_.counters.connections.fetch_sub(1, std::memory_order_relaxed);
-            });
+        asio::post(io_, [this, handle, protocol, refused] {
+            edge_stream stream(tcp_socket(io_.get_executor(), protocol, handle));
+            asio::error_code error;
+            stream.prepare(error);
+            const auto session = std::make_shared<edge_session>(std::move(stream), context_);
+            sessions_.push_back(session);
+            if (error) {
+                session->close();
+            }
+            else if (refused) {
+                session->refuse_connection();
+            }
+            session->start();
         });
     }
 
 private:
     /** Closes late connections and refuses late calls, again and again. */
-    asio::awaitable<void> sweep()
+    void tick()
     {
-        while (!stopping_) {
-            sweep_timer_.expires_after(sweep_period);
-            asio::error_code error;
-            co_await sweep_timer_.async_wait(asio::redirect_error(asio::use_awaitable, error));
-            const auto now = boot_clock::now();
-            for (const auto& session : sessions_) {
-                session->close_if_late(now);
-            }
-            context_.slots.expire(now);
-            context_.pool.close_idle(now - upstream_idle);
+        const auto now = boot_clock::now();
+        context_.parts.slots.expire(now);
+        if (now >= next_sweep_) {
+            next_sweep_ = now + sweep_period;
+            sweep(now);
         }
+        timer_.expires_after(expire_period);
+        timer_.async_wait([this](const asio::error_code& error) {
+            if (!error) {
+                tick();
+            }
+        });
+    }
+
+    void sweep(local_time now)
+    {
+        const auto all = sessions_;
+        std::ranges::for_each(all, [now](const auto& session) { session->close_if_late(now); });
+        std::erase_if(sessions_, [](const auto& session) { return session->closed(); });
+        context_.pool.close_idle(now - context_.parts.limits.upstream_idle);
     }
 
     asio::io_context io_{1};
-    asio::steady_timer sweep_timer_;
+    asio::steady_timer timer_;
     edge_context context_;
-    std::set<std::shared_ptr<edge_session>> sessions_;
+    std::vector<std::shared_ptr<edge_session>> sessions_;
+    local_time next_sweep_;
     std::thread thread_;
-    bool stopping_ = false;
 };
 
 } // namespace
@@ -95,52 +126,86 @@
 /** The listening socket and the workers. */
 struct edge_server::impl {
     impl(edge_limits with, dispatcher& slots, router_holder& routers, locate_service& locator,
-         edge_counters& with_counters)
-        : limits(std::move(with)), counters(with_counters)
+         edge_counters& with_counters, metrics& with_measured)
+        : limits(std::move(with)), counters(with_counters), measured(with_measured)
     {
+        const edge_parts parts{limits, slots, routers, locator, counters, measured};
         for (std::size_t at = 0; at < limits.threads; ++at) {
-            workers.push_back(
-                std::make_unique<edge_worker>(limits, slots, routers, locator, with_counters));
+            workers.push_back(std::make_unique<edge_worker>(parts));
         }
         acceptor = std::make_unique<asio::ip::tcp::acceptor>(workers.front()->io());
+        pause = std::make_unique<asio::steady_timer>(workers.front()->io());
     }
 
-    asio::awaitable<void> accept_loop()
+    void accept_next()
     {
-        std::size_t next = 0;
-        while (acceptor->is_open()) {
-            auto& worker = *workers.at(next++ % workers.size());
-            asio::error_code error;
-            auto socket = co_await acceptor->async_accept(
-                worker.io(), asio::redirect_error(asio::use_awaitable, error));
-            if (error == asio::error::operation_aborted) {
-                co_return;
+        acceptor->async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+            if (error == asio::error::operation_aborted || !acceptor->is_open()) {
+                return;
             }
             if (error) {
-                continue;
+                wait_and_accept();
+                return;
             }
-            if (counters.connections.load() >= limits.max_connections) {
-                asio::error_code ignored;
-                socket.close(ignored);
-                continue;
+            hand_out(std::move(socket));
+            accept_next();
+        });
+    }
+
+    /** Out of descriptors or the like: tries again a little later. */
+    void wait_and_accept()
+    {
+        pause->expires_after(accept_pause);
+        pause->async_wait([this](const asio::error_code& error) {
+            if (!error) {
+                accept_next();
             }
-            counters.connections.fetch_add(1, std::memory_order_relaxed);
-            asio::error_code ignored;
-            socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-            worker.adopt(std::move(socket));
+        });
+    }
+
+    void hand_out(asio::ip::tcp::socket socket)
+    {
+        /** Connections over the limit that are told so; more are closed at once. */
+        constexpr std::size_t told = 256;
+        const auto open = counters.connections.load();
+        if (open >= limits.max_connections + told) {
+            return;
         }
+        counters.connections.fetch_add(1, std::memory_order_relaxed);
+        asio::error_code ignored;
+        const bool refused = open >= limits.max_connections;
+        const int handle = socket.release(ignored);
+        workers.at(next++ % workers.size())->adopt(handle, protocol, refused);
+    }
+
+    /** Closes the listening socket on the thread that accepts. */
+    void stop_accepting()
+    {
+        std::promise<void> closed;
+        asio::post(workers.front()->io(), [&] {
+            asio::error_code ignored;
+            acceptor->close(ignored);
+            closed.set_value();
+        });
+        closed.get_future().wait();
     }
 
     edge_limits limits;
     edge_counters& counters;
+    edge_metrics measured;
     std::vector<std::unique_ptr<edge_worker>> workers;
     std::unique_ptr<asio::ip::tcp::acceptor> acceptor;
+    std::unique_ptr<asio::steady_timer> pause;
+    asio::ip::tcp protocol = asio::ip::tcp::v4();
+    std::size_t next = 0;
+    std::uint16_t port = 0;
     bool running = false;
+    bool accepting = false;
 };
 
 edge_server::edge_server(edge_limits limits, dispatcher& slots, router_holder& routers,
-                         locate_service& locator, edge_counters& counters)
-    : impl_(std::make_unique<impl>(std::move(limits), slots, routers, locator, counters))
+                         locate_service& locator, edge_counters& counters, metrics& measured)
+    : impl_(std::make_unique<impl>(std::move(limits), slots, routers, locator, counters, measured))
 {
 }
 
@@ -153,15 +218,44 @@
 {
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(impl_->limits.address),
                                            impl_->limits.port);
+    impl_->protocol = endpoint.protocol();
     impl_->acceptor->open(endpoint.protocol());
     impl_->acceptor->set_option(asio::socket_base::reuse_address(true));
     impl_->acceptor->bind(endpoint);
     impl_->acceptor->listen();
-    asio::co_spawn(impl_->workers.front()->io(), impl_->accept_loop(), asio::detached);
+    impl_->port = impl_->acceptor->local_endpoint().port();
+    impl_->accept_next();
     for (auto& worker : impl_->workers) {
         worker->start();
     }
     impl_->running = true;
+    impl_->accepting = true;
+}
+
+std::size_t edge_server::drain(milliseconds bound)
+{
+    if (!impl_->running) {
+        return 0;
+    }
+    const auto begin = boot_clock::now();
+    const auto grace_end = begin + std::min(bound, impl_->limits.drain_grace);
+    if (std::exchange(impl_->accepting, false)) {
+        impl_->stop_accepting();
+    }
+    std::ranges::for_each(impl_->workers, [](auto& worker) { worker->begin_drain(); });
+    const auto& counters = impl_->counters;
+    while (boot_clock::now() < begin + bound) {
+        const bool grace_over = boot_clock::now() >= grace_end;
+        if (grace_over) {
+            std::ranges::for_each(impl_->workers, [](auto& worker) { worker->close_idle(); });
+        }
+        const bool all_closed = counters.connections.load() == 0;
+        if (all_closed || (grace_over && counters.running.load() == 0)) {
+            return 0;
+        }
+        std::this_thread::sleep_for(drain_step);
+    }
+    return counters.running.load();
 }
 
 void edge_server::stop()
@@ -170,16 +264,17 @@
         return;
     }
     impl_->running = false;
+    if (std::exchange(impl_->accepting, false)) {
+        impl_->stop_accepting();
+    }
     for (auto& worker : impl_->workers) {
         worker->stop();
     }
-    asio::error_code ignored;
-    impl_->acceptor->close(ignored);
 }
 
 std::uint16_t edge_server::port() const
 {
-    return impl_->acceptor->local_endpoint().port();
+    return impl_->port;
 }
 
 } // namespace sniperock
--- a/src/edge_session.cpp
+++ b/src/edge_session.cpp
@@ -3,54 +3,25 @@
 #include "event_type.hpp"
 #include "http_write.hpp"
 
-#include <asio/buffer.hpp>
-#include <asio/redirect_error.hpp>
-#include <asio/use_awaitable.hpp>
-#include <asio/write.hpp>
-
-#include <array>
 #include <charconv>
 #include <ranges>
 
 namespace sniperock {
 namespace {
 
-constexpr std::size_t read_bytes = 16'384;
-constexpr milliseconds proven_for{1000};
-
-enum http_status : int {
-    ok = 200,
-    bad_request = 400,
-    unauthorized = 401,
-    not_found = 404,
-    request_timeout = 408,
-    too_many_requests = 429,
-    bad_gateway = 502,
-    service_unavailable = 503,
-    gateway_timeout = 504,
-};
-
-int status_of(refusal_reason reason)
-{
-    switch (reason) {
-    case refusal_reason::unknown_service:
-        return not_found;
-    case refusal_reason::plan_rate:
-    case refusal_reason::plan_concurrency:
-    case refusal_reason::no_allowance:
-        return too_many_requests;
-    case refusal_reason::deadline:
-        return gateway_timeout;
-    default:
-        return service_unavailable;
-    }
-}
+/** Bytes of following calls that are kept while one runs. */
+constexpr std::size_t max_pending_bytes = 65'536;
+/** When to come back after a refusal for want of room. */
+constexpr milliseconds retry_after_refusal{1000};
+/** How long a closing connection waits for the caller to close its side. */
+constexpr milliseconds linger_time{1000};
 
 std::optional<milliseconds> parse_timeout(std::string_view text)
 {
+    constexpr std::int64_t day_ms = 86'400'000;
     std::int64_t value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc{} || end != text.data() + text.size() || value <= 0) {
+    if (error != std::errc{} || end != text.data() + text.size() || value <= 0 || value > day_ms) {
         return std::nullopt;
     }
     return milliseconds{value};
@@ -77,367 +48,456 @@
     return {};
 }
 
+refused_input kind_of(const http_syntax_error& fault)
+{
+    if (fault.status() == head_too_long_status) {
+        return refused_input::head_too_long;
+    }
+    return fault.status() == version_status ? refused_input::version : refused_input::malformed;
+}
+
 } // namespace
 
-edge_session::edge_session(asio::ip::tcp::socket socket, edge_context& context)
-    : socket_(std::move(socket)), context_(context),
-      parser_(http_side::request, context.limits.max_header_bytes),
-      time_limit_(boot_clock::now() + context.limits.header_timeout)
+edge_session::edge_session(edge_stream stream, edge_context& context)
+    : stream_(std::move(stream)), context_(context),
+      parser_(http_side::request, context.parts.limits.max_header_bytes),
+      time_limit_(boot_clock::now() + context.parts.limits.header_timeout)
+{
+}
+
+void edge_session::start()
+{
+    watch_input();
+}
+
+void edge_session::refuse_connection()
 {
-    buffer_.resize(read_bytes);
+    refuse(http_status::service_unavailable, edge_reason::connection_limit, refused_input::limit);
 }
 
 void edge_session::close()
 {
-    asio::error_code ignored;
-    socket_.close(ignored);
+    if (std::exchange(closed_, true)) {
+        return;
+    }
+    stream_.close();
+    context_.parts.counters.connections.fetch_sub(1, std::memory_order_relaxed);
+    if (const auto call = call_) {
+        call->caller_gone();
+    }
 }
 
 void edge_session::close_if_late(local_time now)
 {
-    if (now > time_limit_) {
+    if (call_ || now <= time_limit_) {
+        return;
+    }
+    if (!lingering_ && parser_.started()) {
+        constexpr int request_timeout = 408;
+        refuse(request_timeout, edge_reason::malformed, refused_input::slow);
+        return;
+    }
+    if (!lingering_) {
+        context_.parts.measured.refused(refused_input::idle);
+    }
+    close();
+}
+
+void edge_session::close_if_idle()
+{
+    if (!call_ && !parser_.started() && stream_.flushed()) {
         close();
     }
 }
 
-asio::awaitable<void> edge_session::run()
+void edge_session::watch_input()
 {
-    const auto self = shared_from_this();
-    try {
-        while (keep_open_ && co_await read_head()) {
-            co_await handle_request();
-            parser_.reset();
+    if (watching_ || closed_) {
+        return;
+    }
+    watching_ = true;
+    stream_.wait_read([self = shared_from_this()](const asio::error_code& error) {
+        self->watching_ = false;
+        if (!self->closed_ && !error) {
+            self->on_input();
         }
+    });
+}
+
+void edge_session::on_input()
+{
+    asio::error_code error;
+    const auto size = stream_.read(context_.caller_input, error);
+    if (error) {
+        // The caller went away, or closed its side, which counts as the same.
+        close();
+        return;
     }
-    catch (const http_syntax_error& fault) {
-        keep_open_ = false;
-        log_event(event::caller_refused, {{"reason", fault.what()}});
-        asio::error_code ignored;
-        std::string answer;
-        append_status_line(answer, fault.status());
-        append_header(answer, edge_header::outcome, to_name(call_outcome::not_run));
-        append_header(answer, edge_header::reason, "malformed");
-        append_header(answer, "Content-Length", "0");
-        append_header(answer, "Connection", "close");
-        answer += "\r\n";
-        socket_.write_some(asio::buffer(answer), ignored);
-    }
-    catch (const std::system_error&) {
-        // The caller closed the connection or broke it off.
+    const std::string_view data{context_.caller_input.data(), size};
+    ++busy_;
+    if (call_) {
+        feed_body(data);
+    }
+    else if (!lingering_) {
+        process(data);
+    }
+    leave();
+}
+
+/** Ends a stretch of work that must not be entered twice, and does what came up meanwhile. */
+void edge_session::leave()
+{
+    if (--busy_ > 0 || closed_) {
+        return;
+    }
+    if (!call_ && !lingering_ && stream_.flushed() && !pending_.empty()) {
+        const auto held = std::exchange(pending_, {});
+        ++busy_;
+        process(held);
+        --busy_;
+    }
+    if (pending_.size() < max_pending_bytes) {
+        watch_input();
     }
-    close();
 }
 
-asio::awaitable<bool> edge_session::read_head()
+/** Parses heads and starts their calls until one runs or the input ends. */
+void edge_session::process(std::string_view data)
 {
-    time_limit_ = boot_clock::now() + (parsed_ < buffered_ ? context_.limits.header_timeout
-                                                           : context_.limits.idle_timeout);
-    while (!parser_.head_complete()) {
-        if (parsed_ == buffered_) {
-            asio::error_code error;
-            buffered_ = co_await socket_.async_read_some(
-                asio::buffer(buffer_), asio::redirect_error(asio::use_awaitable, error));
-            parsed_ = 0;
-            if (error) {
-                co_return false;
+    std::string held;
+    try {
+        while (!data.empty() && !call_ && !closed_ && !lingering_ && stream_.flushed()) {
+            if (!parser_.started()) {
+                time_limit_ = boot_clock::now() + context_.parts.limits.header_timeout;
+            }
+            data.remove_prefix(parser_.feed(data));
+            if (!parser_.head_complete()) {
+                continue;
             }
-            time_limit_ = boot_clock::now() + context_.limits.header_timeout;
+            pending_.assign(data);
+            take_head();
+            held = std::exchange(pending_, {});
+            data = held;
         }
-        parsed_ += parser_.feed(std::string_view{buffer_}.substr(parsed_, buffered_ - parsed_));
     }
-    co_return true;
+    catch (const http_syntax_error& fault) {
+        refuse_malformed(fault);
+        return;
+    }
+    pending_.assign(data);
+}
+
+void edge_session::take_head()
+{
+    const auto& head = parser_.head();
+    keep_open_ = head.keep_alive;
+    body_bytes_ = 0;
+    expects_continue_ = false;
+    if (path_of(head.target) == "/locate") {
+        handle_locate(*context_.router());
+        return;
+    }
+    if (body_allowed()) {
+        handle_call();
+    }
 }
 
-asio::awaitable<void> edge_session::handle_request()
+bool edge_session::body_allowed()
 {
-    const auto router = context_.routers.get();
-    keep_open_ = parser_.head().keep_alive;
-    if (path_of(parser_.head().target) == "/locate") {
-        co_await handle_locate(*router);
-        co_return;
+    const auto& head = parser_.head();
+    if (head.body_length > context_.parts.limits.max_body_bytes) {
+        refuse(http_status::payload_too_large, edge_reason::body_too_large,
+               refused_input::body_too_large);
+        return false;
     }
-    co_await handle_call(*router);
+    if (const auto expectation = head.headers.find("expect")) {
+        if (!equal_ignoring_case(*expectation, "100-continue")) {
+            refuse(http_status::expectation_failed, edge_reason::unknown_expectation);
+            return false;
+        }
+        expects_continue_ = !parser_.message_complete();
+    }
+    return true;
 }
 
-asio::awaitable<void> edge_session::handle_locate(const edge_router& router)
+void edge_session::handle_locate(const edge_router& router)
 {
     const std::string target = parser_.head().target;
     const auto service = query_value(target, "service");
     if (router.service_named(service) == nullptr) {
-        co_await refuse(not_found, "unknown-service", call_outcome::not_run);
-        co_return;
+        refuse(http_status::not_found, edge_reason::unknown_service);
+        return;
     }
-    const auto answer = context_.locator.answer(service, query_value(target, "near"));
+    const auto answer = context_.parts.locator.answer(service, query_value(target, "near"));
     if (!answer) {
-        co_await refuse(service_unavailable, "no-entry-vms", call_outcome::not_run);
-        co_return;
+        refuse(http_status::service_unavailable, edge_reason::no_entry_vms);
+        return;
     }
     http_headers headers;
     headers.add("Content-Type", "application/json");
-    co_await write_answer(ok, headers, *answer);
+    headers.add("Cache-Control", "no-store");
+    write_answer(http_status::ok, headers, *answer);
+    next_request();
 }
 
-asio::awaitable<void> edge_session::handle_call(const edge_router& router)
+/** Finds the plan of the request's key; the last one is remembered. */
+bool edge_session::find_plan(const std::shared_ptr<const edge_router>& router)
 {
+    const auto key = parser_.head().headers.find(edge_header::key);
+    if (!key) {
+        return false;
+    }
+    if (plan_ != nullptr && router_ == router && key_ == *key) {
+        return true;
+    }
+    plan_ = router->find_plan(*key);
+    router_ = router;
+    key_ = *key;
+    series_ = plan_ == nullptr ? nullptr : &context_.parts.measured.of_plan(plan_->name);
+    return plan_ != nullptr;
+}
+
+void edge_session::handle_call()
+{
+    const auto& router = context_.router();
     const auto& head = parser_.head();
-    const auto key = head.headers.find(edge_header::key);
-    const plan* caller_plan = key ? router.find_plan(*key) : nullptr;
-    if (caller_plan == nullptr) {
-        co_await refuse(unauthorized, "unknown-key", call_outcome::not_run);
-        co_return;
+    if (!find_plan(router)) {
+        refuse(http_status::unauthorized, edge_reason::unknown_key);
+        return;
     }
     const auto host = head.headers.find("host").value_or("");
-    const auto* service = router.find_service(host, head.target);
+    const auto* service = router->find_service(host, head.target);
     if (service == nullptr) {
-        co_await refuse(not_found, "unknown-service", call_outcome::not_run);
-        co_return;
+        refuse(http_status::not_found, edge_reason::unknown_service);
+        return;
     }
+    const auto& limits = context_.parts.limits;
     const auto timeout_text = head.headers.find(edge_header::timeout);
-    const auto timeout =
-        timeout_text ? parse_timeout(*timeout_text) : context_.limits.default_deadline;
+    const auto timeout = timeout_text ? parse_timeout(*timeout_text) : limits.default_deadline;
     if (!timeout) {
-        co_await refuse(bad_request, "malformed-timeout", call_outcome::not_run);
-        co_return;
-    }
-    call_state call;
-    call.started = boot_clock::now();
-    call.spec = {
-        service->name, caller_plan->name, classify(head.method), call.started + *timeout, {}};
-    time_limit_ = call.spec.deadline + context_.limits.header_timeout;
-    call.slot = co_await wait_for_slot(call.spec);
-    if (const auto* no_slot = std::get_if<refusal>(&call.slot)) {
-        co_await refuse(status_of(no_slot->reason), to_name(no_slot->reason), call_outcome::not_run,
-                        no_slot->retry_after);
-        co_return;
-    }
-    const auto& slot = std::get<grant>(call.slot);
-    const auto report = co_await forward(call, slot);
-    context_.slots.release(slot, report, boot_clock::now(), system_clock_source::wall_now());
-    if (report.result == call_result::answered) {
-        co_return;
-    }
-    if (call.answering) {
-        keep_open_ = false;
-        count(call_outcome::unknown);
-        co_return;
+        refuse(http_status::bad_request, edge_reason::malformed_timeout);
+        return;
     }
-    const auto outcome = call.sent ? call_outcome::unknown : call_outcome::not_run;
-    co_await refuse(bad_gateway, "server-failed", outcome);
-}
-
-asio::awaitable<grant_result> edge_session::wait_for_slot(const call_spec& spec)
-{
-    const auto executor = socket_.get_executor();
-    co_return co_await asio::async_initiate<decltype(asio::use_awaitable), void(grant_result)>(
-        [this, &spec, executor](auto handler) {
-            auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-            context_.slots.acquire(spec, boot_clock::now(), system_clock_source::wall_now(),
-                                   [shared, executor](grant_result result) {
-                                       asio::post(executor,
-                                                  [shared, result = std::move(result)]() mutable {
-                                                      (*shared)(std::move(result));
-                                                  });
-                                   });
-        },
-        asio::use_awaitable);
+    const auto now = boot_clock::now();
+    call_request request{{service->name, plan_->name, classify(head.method), now + *timeout, {}},
+                         series_,
+                         &context_.latency_of(service->name),
+                         service->servers.size(),
+                         now};
+    call_ = std::make_shared<edge_call>(*this, context_, std::move(request));
+    const auto call = call_;
+    call->start();
 }
 
-asio::awaitable<call_report> edge_session::forward(call_state& call, const grant& slot)
+/** Takes input that came while a call runs; keeps what the call does not want yet. */
+void edge_session::feed_body(std::string_view data)
 {
-    call_report report;
     try {
-        co_await open_upstream(call, slot);
-        co_await send_request(call, slot);
-        co_await read_response_head(*call.upstream);
-        auto& head = call.upstream->parser.head();
-        if (const auto load = head.headers.find(edge_header::load)) {
-            report.load = parse_load(*load);
+        while (!data.empty() && pending_.empty() && call_ && !parser_.message_complete() &&
+               call_->wants_body()) {
+            data.remove_prefix(parser_.feed(data));
+            hand_over_body();
         }
-        report.latency = boot_clock::now() - call.started;
-        co_await send_response(call);
-        count(call_outcome::answered);
-        call.upstream->last_answer = boot_clock::now();
-        if (head.keep_alive && call.upstream->parser.message_complete()) {
-            context_.pool.put_back(slot.server, std::move(call.upstream));
-        }
-        report.result = call_result::answered;
     }
-    catch (const std::exception& fault) {
-        log_event(event::server_failed, {{"service", slot.server.service},
-                                         {"server", slot.server.server},
-                                         {"reason", fault.what()}});
-        report.result = call.sent ? call_result::failed : call_result::not_sent;
+    catch (const http_syntax_error& fault) {
+        refuse_malformed(fault);
+        return;
     }
-    co_return report;
+    pending_.append(data);
 }
 
-asio::awaitable<void> edge_session::open_upstream(call_state& call, const grant& slot)
+void edge_session::hand_over_body()
 {
-    call.upstream = context_.pool.take_idle(slot.server, boot_clock::now() - proven_for);
-    if (!call.upstream) {
-        call.upstream = co_await context_.pool.open(slot.address, slot.port);
+    const auto call = call_;
+    for (const auto piece : parser_.body()) {
+        body_bytes_ += piece.size();
+    }
+    if (body_bytes_ > context_.parts.limits.max_body_bytes) {
+        context_.parts.measured.refused(refused_input::body_too_large);
+        keep_open_ = false;
+        call->refuse({http_status::payload_too_large, to_name(edge_reason::body_too_large),
+                      call_outcome::not_run, milliseconds{0}});
+        return;
     }
-    const bool head_request = parser_.head().method == "HEAD";
-    call.upstream->parser.reset(head_request);
+    call->take_body(parser_.body(), parser_.message_complete());
 }
 
-asio::awaitable<void> edge_session::send_request(call_state& call, const grant& slot)
+void edge_session::pump_body()
 {
-    const auto& head = parser_.head();
-    std::string out;
-    append_request_line(out, head.method, head.target);
-    append_end_to_end_headers(out, head.headers);
-    append_header(out, edge_header::deadline, std::to_string(to_unix_us(slot.fence)));
-    append_framing(out, head.framing, head.body_length);
-    out += "\r\n";
-    const bool chunked = head.framing == body_framing::chunked;
-    const auto append_body = [&] {
-        for (const auto piece : parser_.body()) {
-            if (chunked) {
-                out.append(chunk_prefix(piece.size())).append(piece).append(chunk_suffix);
-            }
-            else {
-                out.append(piece);
-            }
-        }
-    };
-    append_body();
-    call.sent = true;
-    while (!parser_.message_complete()) {
-        if (parsed_ == buffered_) {
-            co_await asio::async_write(call.upstream->socket, asio::buffer(out),
-                                       asio::use_awaitable);
-            out.clear();
-            buffered_ =
-                co_await socket_.async_read_some(asio::buffer(buffer_), asio::use_awaitable);
-            parsed_ = 0;
-        }
-        parsed_ += parser_.feed(std::string_view{buffer_}.substr(parsed_, buffered_ - parsed_));
-        append_body();
+    if (closed_ || !call_) {
+        return;
     }
-    if (chunked) {
-        out.append(last_chunk);
+    ++busy_;
+    const auto held = std::exchange(pending_, {});
+    feed_body(held);
+    leave();
+}
+
+void edge_session::allow_body()
+{
+    if (std::exchange(expects_continue_, false) && body_bytes_ == 0) {
+        constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+        write({&go_on, 1});
     }
-    if (!out.empty()) {
-        co_await asio::async_write(call.upstream->socket, asio::buffer(out), asio::use_awaitable);
+}
+
+bool edge_session::write(std::span<const std::string_view> parts)
+{
+    asio::error_code error;
+    stream_.write(parts, error);
+    if (error) {
+        return false;
     }
+    await_flush();
+    return true;
 }
 
-asio::awaitable<void> edge_session::read_response_head(upstream_connection& upstream)
+void edge_session::await_flush()
 {
-    upstream.pending.resize(read_bytes);
-    std::size_t used = 0;
-    std::size_t size = 0;
-    while (!upstream.parser.head_complete()) {
-        if (used == size) {
-            size = co_await upstream.socket.async_read_some(asio::buffer(upstream.pending),
-                                                            asio::use_awaitable);
-            used = 0;
+    if (flushing_ || closed_ || stream_.flushed()) {
+        return;
+    }
+    flushing_ = true;
+    stream_.wait_write([self = shared_from_this()](const asio::error_code& error) {
+        self->flushing_ = false;
+        if (self->closed_) {
+            return;
         }
-        used += upstream.parser.feed(std::string_view{upstream.pending}.substr(used, size - used));
-    }
-    upstream.pending.resize(size);
-    upstream.pending.erase(0, used);
-}
-
-asio::awaitable<void> edge_session::send_response(call_state& call)
-{
-    auto& upstream = *call.upstream;
-    auto& head = upstream.parser.head();
-    const auto framing =
-        head.framing == body_framing::until_close ? body_framing::chunked : head.framing;
-    const bool head_request = parser_.head().method == "HEAD";
-    std::string out;
-    append_status_line(out, head.status);
-    append_end_to_end_headers(out, head.headers);
-    append_header(out, edge_header::outcome, to_name(call_outcome::answered));
-    if (framing == body_framing::none && !head_request) {
-        append_header(out, "Content-Length", "0");
-    }
-    append_framing(out, framing, head.body_length);
-    out += "\r\n";
-    const bool chunked = framing == body_framing::chunked;
-    const auto append_body = [&] {
-        for (const auto piece : upstream.parser.body()) {
-            if (chunked) {
-                out.append(chunk_prefix(piece.size())).append(piece).append(chunk_suffix);
-            }
-            else {
-                out.append(piece);
-            }
+        asio::error_code fault = error;
+        if (!fault) {
+            self->stream_.flush(fault);
         }
-    };
-    append_body();
-    std::string pending = std::move(upstream.pending);
-    std::size_t used = 0;
-    std::size_t size = pending.size();
-    while (!upstream.parser.message_complete()) {
-        if (used == size) {
-            if (!out.empty()) {
-                call.answering = true;
-                co_await asio::async_write(socket_, asio::buffer(out), asio::use_awaitable);
-                out.clear();
-            }
-            pending.resize(read_bytes);
-            asio::error_code error;
-            size = co_await upstream.socket.async_read_some(
-                asio::buffer(pending), asio::redirect_error(asio::use_awaitable, error));
-            used = 0;
-            if (error) {
-                upstream.parser.finish();
-                append_body();
-                break;
-            }
+        if (fault) {
+            self->close();
+            return;
         }
-        used += upstream.parser.feed(std::string_view{pending}.substr(used, size - used));
-        append_body();
+        self->time_limit_ = boot_clock::now() + self->context_.parts.limits.stall_timeout;
+        self->await_flush();
+        if (self->stream_.flushed()) {
+            self->drained();
+        }
+    });
+}
+
+/** The caller took everything that was written. */
+void edge_session::drained()
+{
+    if (const auto call = call_) {
+        call->caller_drained();
+        return;
     }
-    if (chunked) {
-        out.append(last_chunk);
+    ++busy_;
+    if (!keep_open_) {
+        finish_connection();
     }
-    call.answering = true;
-    co_await asio::async_write(socket_, asio::buffer(out), asio::use_awaitable);
+    leave();
 }
 
-asio::awaitable<void> edge_session::refuse(int status, std::string_view reason,
-                                           call_outcome outcome, milliseconds retry_after)
+void edge_session::call_done(bool whole)
 {
-    count(outcome);
-    if (!parser_.message_complete()) {
+    const auto ended = std::exchange(call_, nullptr);
+    if (!whole) {
+        close();
+        return;
+    }
+    ++busy_;
+    next_request();
+    leave();
+}
+
+void edge_session::next_request()
+{
+    if (closed_) {
+        return;
+    }
+    if (!parser_.message_complete() || !keep_open_) {
         keep_open_ = false;
+        finish_connection();
+        return;
+    }
+    const auto& limits = context_.parts.limits;
+    parser_.reset();
+    time_limit_ =
+        boot_clock::now() + (stream_.flushed() ? limits.idle_timeout : limits.stall_timeout);
+    if (stream_.flushed()) {
+        stream_.release_memory();
+    }
+}
+
+/** Sends the end of the stream and waits for the caller's, so that the answer is not lost. */
+void edge_session::finish_connection()
+{
+    if (lingering_ || !stream_.flushed()) {
+        return;
     }
+    lingering_ = true;
+    std::string{}.swap(pending_);
+    time_limit_ = boot_clock::now() + linger_time;
+    stream_.shutdown_send();
+}
+
+void edge_session::refuse_malformed(const http_syntax_error& fault)
+{
+    if (context_.may_log()) {
+        log_event(event::caller_refused, {{"reason", fault.what()}});
+    }
+    keep_open_ = false;
+    if (const auto call = call_) {
+        context_.parts.measured.refused(kind_of(fault));
+        call->refuse({fault.status(), to_name(edge_reason::malformed), call_outcome::not_run,
+                      milliseconds{0}});
+        return;
+    }
+    refuse(fault.status(), edge_reason::malformed, kind_of(fault));
+}
+
+void edge_session::refuse(int status, edge_reason reason, refused_input kind)
+{
+    context_.parts.measured.refused(kind);
+    keep_open_ = false;
+    refuse(status, reason);
+}
+
+void edge_session::refuse(int status, edge_reason reason)
+{
+    context_.parts.counters.not_run.fetch_add(1, std::memory_order_relaxed);
+    const bool may_help = status == http_status::service_unavailable;
+    write_local({status, to_name(reason), call_outcome::not_run,
+                 may_help ? retry_after_refusal : milliseconds{0}});
+    next_request();
+}
+
+void edge_session::write_local(const local_answer& answer)
+{
     http_headers headers;
-    headers.add(edge_header::outcome, std::string{to_name(outcome)});
-    headers.add(edge_header::reason, std::string{reason});
-    if (retry_after.count() > 0) {
-        const auto whole = std::chrono::ceil<seconds>(retry_after);
-        headers.add("Retry-After", std::to_string(whole.count()));
+    headers.add(edge_header::outcome, std::string{to_name(answer.outcome)});
+    headers.add(edge_header::reason, std::string{answer.reason});
+    if (answer.retry_after.count() > 0) {
+        const auto whole = std::chrono::ceil<seconds>(answer.retry_after);
+        headers.add(edge_header::retry_after, std::to_string(whole.count()));
     }
-    co_await write_answer(status, headers, {});
+    write_answer(answer.status, headers, {});
 }
 
-asio::awaitable<void> edge_session::write_answer(int status, const http_headers& headers,
-                                                 std::string_view body)
+void edge_session::write_answer(int status, const http_headers& headers, std::string_view body)
 {
-    std::string out;
+    if (!parser_.message_complete()) {
+        keep_open_ = false;
+    }
+    auto& out = context_.caller_output;
+    out.clear();
     append_status_line(out, status);
     append_end_to_end_headers(out, headers);
-    append_header(out, "Content-Length", std::to_string(body.size()));
-    if (!keep_open_) {
+    append_framing(out, body_framing::length, body.size());
+    if (closing_after_call()) {
         append_header(out, "Connection", "close");
     }
-    out += "\r\n";
-    out.append(body);
-    co_await asio::async_write(socket_, asio::buffer(out), asio::use_awaitable);
-}
-
-void edge_session::count(call_outcome outcome)
-{
-    auto& counters = context_.counters;
-    auto& target = outcome == call_outcome::answered  ? counters.answered
-                   : outcome == call_outcome::not_run ? counters.not_run
-                                                      : counters.unknown;
-    target.fetch_add(1, std::memory_order_relaxed);
+    out.append("\r\n").append(body);
+    const std::string_view whole{out};
+    if (!write({&whole, 1})) {
+        close();
+    }
+    out.clear();
 }
 
 } // namespace sniperock
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -65,7 +65,7 @@
                 {static_cast<std::size_t>(settings.queue_limit), settings.policy},
                 send_through(link)),
           locator(settings.locate_keep, random_seed()),
-          edge(make_edge_limits(settings), slots, routers, locator, counters),
+          edge(make_edge_limits(settings), slots, routers, locator, counters, measured),
           pages(settings.admin_address, static_cast<int>(settings.admin_port))
     {
         routers.set(std::make_shared<const edge_router>(std::make_shared<config_snapshot>()));
--- /dev/null
+++ b/src/http_check.cpp
@@ -0,0 +1,155 @@
+/** @file http_check.cpp Refuses ambiguous heads and chunk framing. */
+#include "http_check.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace sniperock {
+namespace {
+
+/** Most header lines of one message. */
+constexpr std::size_t max_header_lines = 100;
+constexpr unsigned char first_printable = 0x20;
+constexpr unsigned char delete_character = 0x7f;
+
+/** True for the characters of a header name. */
+constexpr std::array<bool, 256> make_token_table()
+{
+    std::array<bool, 256> table{};
+    for (char ch = 'a'; ch <= 'z'; ++ch) {
+        table.at(static_cast<unsigned char>(ch)) = true;
+        table.at(static_cast<unsigned char>(ch - 'a' + 'A')) = true;
+    }
+    for (char ch = '0'; ch <= '9'; ++ch) {
+        table.at(static_cast<unsigned char>(ch)) = true;
+    }
+    for (const char ch : std::string_view{"!#$%&'*+-.^_`|~"}) {
+        table.at(static_cast<unsigned char>(ch)) = true;
+    }
+    return table;
+}
+
+constexpr auto token_table = make_token_table();
+
+bool is_token(std::string_view text)
+{
+    return !text.empty() && std::ranges::all_of(text, [](char ch) {
+        return token_table[static_cast<unsigned char>(ch)];
+    });
+}
+
+bool is_control(char ch)
+{
+    const auto code = static_cast<unsigned char>(ch);
+    return (code < first_printable && ch != '\t') || code == delete_character;
+}
+
+bool is_visible(char ch)
+{
+    const auto code = static_cast<unsigned char>(ch);
+    return code > first_printable && code != delete_character;
+}
+
+std::ptrdiff_t count_lines(const http_head& head, std::string_view name)
+{
+    return std::ranges::count_if(head.headers.lines(), [name](const http_header& line) {
+        return equal_ignoring_case(line.name, name);
+    });
+}
+
+void check_lines(const http_head& head)
+{
+    if (head.headers.lines().size() > max_header_lines) {
+        throw http_syntax_error("too many header lines", head_too_long_status);
+    }
+    for (const auto& line : head.headers.lines()) {
+        if (!is_token(line.name)) {
+            throw http_syntax_error("malformed header name", malformed_status);
+        }
+        if (std::ranges::any_of(line.value, is_control)) {
+            throw http_syntax_error("control character in a header value", malformed_status);
+        }
+    }
+}
+
+void check_framing(const http_head& head)
+{
+    const auto codings = count_lines(head, "transfer-encoding");
+    if (codings == 0) {
+        return;
+    }
+    const auto coding = head.headers.find("transfer-encoding").value_or("");
+    if (codings > 1 || !equal_ignoring_case(coding, "chunked")) {
+        throw http_syntax_error("transfer coding other than chunked", malformed_status);
+    }
+    if (head.headers.find("content-length")) {
+        throw http_syntax_error("both length and chunked", malformed_status);
+    }
+}
+
+void check_request(const http_head& head)
+{
+    if (!head.version_1_1) {
+        throw http_syntax_error("only HTTP/1.1 is served", version_status);
+    }
+    if (!head.target.starts_with('/') || !std::ranges::all_of(head.target, is_visible)) {
+        throw http_syntax_error("malformed target", malformed_status);
+    }
+    if (count_lines(head, "host") != 1) {
+        throw http_syntax_error("exactly one Host header is needed", malformed_status);
+    }
+}
+
+} // namespace
+
+void line_end_checker::check_line_end(char ch)
+{
+    if ((ch == '\n') != previous_was_cr_) {
+        throw http_syntax_error("line does not end with CR LF", malformed_status);
+    }
+    previous_was_cr_ = ch == '\r';
+}
+
+void line_end_checker::check_head(std::string_view data)
+{
+    for (const char ch : data) {
+        check_line_end(ch);
+        if (at_line_start_ && (ch == ' ' || ch == '\t')) {
+            throw http_syntax_error("folded header line", malformed_status);
+        }
+        at_line_start_ = ch == '\n';
+    }
+}
+
+void line_end_checker::check_chunks(std::string_view data,
+                                    const std::vector<std::string_view>& chunks)
+{
+    const auto check = [this](std::string_view framing) {
+        for (const char ch : framing) {
+            check_line_end(ch);
+            if (ch != '\r' && ch != '\n' && is_control(ch)) {
+                throw http_syntax_error("control character in chunk framing", malformed_status);
+            }
+        }
+    };
+    const char* at = data.data();
+    for (const auto chunk : chunks) {
+        check({at, static_cast<std::size_t>(chunk.data() - at)});
+        if (previous_was_cr_) {
+            throw http_syntax_error("line does not end with CR LF", malformed_status);
+        }
+        at = chunk.data() + chunk.size();
+    }
+    check({at, static_cast<std::size_t>(data.data() + data.size() - at)});
+}
+
+void check_head(const http_head& head, bool request)
+{
+    check_lines(head);
+    check_framing(head);
+    if (request) {
+        check_request(head);
+    }
+}
+
+} // namespace sniperock
--- a/src/http_parser.cpp
+++ b/src/http_parser.cpp
@@ -1,5 +1,6 @@
 /** @file http_parser.cpp Message parsing on top of the http_parser library. */
 #include "http_parser.hpp"
+#include "http_check.hpp"
 
 #include <http_parser.h>
 
@@ -18,7 +19,7 @@
     bool head_complete = false;
     bool message_complete = false;
     bool last_was_value = false;
-    bool previous_was_cr = false;
+    line_end_checker line_ends;
     http_head head;
     std::vector<std::string_view> body;
 
@@ -28,21 +29,11 @@
     {
         auto& lines = head.headers.lines();
         if (lines.empty() || last_was_value) {
-            lines.emplace_back();
             last_was_value = false;
+            return head.headers.add_empty();
         }
         return lines.back();
     }
-
-    void refuse_bare_line_feeds(std::string_view data)
-    {
-        for (const char ch : data) {
-            if (ch == '\n' && !previous_was_cr) {
-                throw http_syntax_error("line feed without carriage return", 400);
-            }
-            previous_was_cr = ch == '\r';
-        }
-    }
 };
 
 namespace {
@@ -78,6 +69,30 @@
     return status < first_final || status == no_content || status == not_modified;
 }
 
+/** Takes the head over; returns what the library expects: 1 if no body follows. */
+template <typename Impl>
+int take_head(Impl& state, ::http_parser* parser)
+{
+    const bool no_body =
+        state.side == http_side::response &&
+        (state.head_request || status_has_no_body(static_cast<int>(parser->status_code)));
+    auto& head = state.head;
+    head.framing = framing_of(*parser, state.side, no_body);
+    head.body_length = head.framing == body_framing::length ? parser->content_length : 0;
+    head.keep_alive = ::http_should_keep_alive(parser) != 0;
+    head.version_1_1 = parser->http_major == 1 && parser->http_minor >= 1;
+    head.status = static_cast<int>(parser->status_code);
+    if (state.side == http_side::request) {
+        head.method = ::http_method_str(static_cast<::http_method>(parser->method));
+        if (parser->method != HTTP_CONNECT) {
+            // An offer to upgrade may be ignored, and it is.
+            parser->upgrade = 0;
+        }
+    }
+    state.head_complete = true;
+    return no_body ? 1 : 0;
+}
+
 template <typename Impl>
 ::http_parser_settings make_callbacks()
 {
@@ -91,30 +106,24 @@
         return 0;
     };
     settings.on_header_field = [](::http_parser* parser, const char* at, std::size_t size) {
-        self<Impl>(parser).current_header().name.append(at, size);
+        auto& state = self<Impl>(parser);
+        if (!state.head_complete) {
+            state.current_header().name.append(at, size);
+        }
         return 0;
     };
     settings.on_header_value = [](::http_parser* parser, const char* at, std::size_t size) {
         auto& state = self<Impl>(parser);
-        state.head.headers.lines().back().value.append(at, size);
-        state.last_was_value = true;
+        if (!state.head_complete) {
+            state.head.headers.lines().back().value.append(at, size);
+            state.last_was_value = true;
+        }
         return 0;
     };
     settings.on_headers_complete = [](::http_parser* parser) {
-        auto& state = self<Impl>(parser);
-        const bool no_body =
-            state.side == http_side::response &&
-            (state.head_request || status_has_no_body(static_cast<int>(parser->status_code)));
-        state.head.framing = framing_of(*parser, state.side, no_body);
-        state.head.body_length =
-            state.head.framing == body_framing::length ? parser->content_length : 0;
-        state.head.keep_alive = ::http_should_keep_alive(parser) != 0;
-        state.head.status = static_cast<int>(parser->status_code);
-        if (state.side == http_side::request) {
-            state.head.method = ::http_method_str(static_cast<::http_method>(parser->method));
-        }
-        state.head_complete = true;
-        return no_body ? 1 : 0;
+        const int result = take_head(self<Impl>(parser), parser);
+        ::http_parser_pause(parser, 1);
+        return result;
     };
     settings.on_body = [](::http_parser* parser, const char* at, std::size_t size) {
         self<Impl>(parser).body.emplace_back(at, size);
@@ -128,6 +137,24 @@
     return settings;
 }
 
+/** Ends a pause or reports what the library found. @throws http_syntax_error */
+void settle(::http_parser& parser)
+{
+    const auto error = HTTP_PARSER_ERRNO(&parser);
+    if (error == HPE_PAUSED) {
+        ::http_parser_pause(&parser, 0);
+    }
+    else if (error == HPE_HEADER_OVERFLOW) {
+        throw http_syntax_error("head is too long", head_too_long_status);
+    }
+    else if (error != HPE_OK) {
+        throw http_syntax_error(::http_errno_description(error), malformed_status);
+    }
+    else if (parser.upgrade != 0) {
+        throw http_syntax_error("protocol upgrades are not served", malformed_status);
+    }
+}
+
 } // namespace
 
 http_message_parser::http_message_parser(http_side side, std::size_t max_head_bytes)
@@ -150,40 +177,50 @@
     state.head_complete = false;
     state.message_complete = false;
     state.last_was_value = false;
-    state.previous_was_cr = false;
-    state.head = {};
+    state.line_ends = {};
+    state.head.clear();
     state.body.clear();
 }
 
 std::size_t http_message_parser::feed(std::string_view data)
+{
+    impl_->body.clear();
+    return impl_->head_complete ? feed_body(data) : feed_head(data);
+}
+
+std::size_t http_message_parser::feed_head(std::string_view data)
 {
     static const ::http_parser_settings callbacks = make_callbacks<impl>();
     auto& state = *impl_;
-    state.body.clear();
-    const bool in_head = !state.head_complete;
-    const std::size_t consumed =
+    std::size_t consumed =
         ::http_parser_execute(&state.parser, &callbacks, data.data(), data.size());
-    const auto error = HTTP_PARSER_ERRNO(&state.parser);
-    if (error == HPE_PAUSED) {
-        ::http_parser_pause(&state.parser, 0);
+    settle(state.parser);
+    if (state.head_complete && consumed < data.size()) {
+        // The library stops before the head's last byte; it is handed on alone.
+        consumed += ::http_parser_execute(&state.parser, &callbacks, data.data() + consumed, 1);
+        settle(state.parser);
     }
-    else if (error == HPE_HEADER_OVERFLOW) {
-        throw http_syntax_error("head is too long", 431);
+    state.line_ends.check_head(data.substr(0, consumed));
+    state.head_bytes += consumed;
+    if (state.head_bytes > state.max_head_bytes) {
+        throw http_syntax_error("head is too long", head_too_long_status);
     }
-    else if (error != HPE_OK) {
-        throw http_syntax_error(::http_errno_description(error), 400);
-    }
-    else if (state.parser.upgrade != 0) {
-        throw http_syntax_error("protocol upgrades are not served", 400);
-    }
-    if (in_head) {
-        const auto head_end = state.head_complete ? data.find("\r\n\r\n") : std::string_view::npos;
-        const auto head_part = head_end == std::string_view::npos ? consumed : head_end + 4;
-        state.refuse_bare_line_feeds(data.substr(0, std::min(head_part, consumed)));
-        state.head_bytes += std::min(head_part, consumed);
-        if (state.head_bytes > state.max_head_bytes) {
-            throw http_syntax_error("head is too long", 431);
-        }
+    if (state.head_complete) {
+        check_head(state.head, state.side == http_side::request);
+        state.line_ends = {};
+    }
+    return consumed;
+}
+
+std::size_t http_message_parser::feed_body(std::string_view data)
+{
+    static const ::http_parser_settings callbacks = make_callbacks<impl>();
+    auto& state = *impl_;
+    const std::size_t consumed =
+        ::http_parser_execute(&state.parser, &callbacks, data.data(), data.size());
+    settle(state.parser);
+    if (state.head.framing == body_framing::chunked) {
+        state.line_ends.check_chunks(data.substr(0, consumed), state.body);
     }
     return consumed;
 }
@@ -198,7 +235,7 @@
     }
     ::http_parser_execute(&state.parser, &callbacks, nullptr, 0);
     if (!state.message_complete) {
-        throw http_syntax_error("connection closed in mid-message", 400);
+        throw http_syntax_error("connection closed in mid-message", malformed_status);
     }
 }
 
--- a/src/http_parser.hpp
+++ b/src/http_parser.hpp
@@ -2,11 +2,11 @@
  * connection. */
 #pragma once
 
+#include "http_check.hpp"
 #include "http_type.hpp"
 
 #include <cstddef>
 #include <memory>
-#include <stdexcept>
 #include <string_view>
 #include <vector>
 
@@ -15,20 +15,6 @@
 /** Which side of a connection is parsed. */
 enum class http_side { request, response };
 
-/** The peer sent something that is not one well-formed message. */
-class http_syntax_error : public std::runtime_error {
-public:
-    http_syntax_error(const std::string& what, int status)
-        : std::runtime_error(what), status_(status)
-    {
-    }
-    /** Status to refuse a request with: 400, 413 or 431. */
-    [[nodiscard]] int status() const noexcept { return status_; }
-
-private:
-    int status_;
-};
-
 /**
  * Parses messages from fed bytes. Body bytes are handed out as views into the fed
  * buffer, so nothing is copied. Message framing that can be read in two ways is refused.
@@ -49,7 +35,8 @@
     void reset(bool head_request = false);
 
     /**
-     * Parses @p data until it ends, the head is complete, or the message is complete.
+     * Parses @p data until it ends, the head is complete, or the message is complete. A feed that
+     * completes the head hands out no body.
      * @return the number of bytes consumed.
      * @throws http_syntax_error if the bytes are not well formed.
      */
@@ -69,6 +56,10 @@
 
 private:
     struct impl;
+
+    std::size_t feed_head(std::string_view data);
+    std::size_t feed_body(std::string_view data);
+
     std::unique_ptr<impl> impl_;
 };
 
--- a/src/http_type.hpp
+++ b/src/http_type.hpp
@@ -42,10 +42,30 @@
     }
     [[nodiscard]] const std::vector<http_header>& lines() const { return lines_; }
     [[nodiscard]] std::vector<http_header>& lines() { return lines_; }
-    void clear() { lines_.clear(); }
+    /** Appends an empty line, in memory of a cleared one if there is any. */
+    http_header& add_empty()
+    {
+        if (spare_.empty()) {
+            return lines_.emplace_back();
+        }
+        lines_.push_back(std::move(spare_.back()));
+        spare_.pop_back();
+        return lines_.back();
+    }
+    /** Removes all lines and keeps their memory for the next ones. */
+    void clear()
+    {
+        for (auto& line : lines_) {
+            line.name.clear();
+            line.value.clear();
+            spare_.push_back(std::move(line));
+        }
+        lines_.clear();
+    }
 
 private:
     std::vector<http_header> lines_;
+    std::vector<http_header> spare_;
 };
 
 /** How the length of a body is told. */
@@ -65,6 +85,21 @@
     std::uint64_t body_length = 0;
     /** The connection may be used for another message after this one. */
     bool keep_alive = true;
+    /** The peer speaks HTTP/1.1; false for an older version. */
+    bool version_1_1 = true;
+
+    /** Forgets the message and keeps the memory. */
+    void clear()
+    {
+        method.clear();
+        target.clear();
+        headers.clear();
+        status = 0;
+        framing = body_framing::none;
+        body_length = 0;
+        keep_alive = true;
+        version_1_1 = true;
+    }
 };
 
 } // namespace sniperock
--- a/src/http_write.cpp
+++ b/src/http_write.cpp
@@ -10,7 +10,7 @@
 namespace sniperock {
 namespace {
 
-constexpr std::array<std::pair<int, std::string_view>, 24> phrases{{
+constexpr std::array<std::pair<int, std::string_view>, 27> phrases{{
     {200, "OK"},
     {201, "Created"},
     {202, "Accepted"},
@@ -27,6 +27,7 @@
     {412, "Precondition Failed"},
     {413, "Payload Too Large"},
     {416, "Range Not Satisfiable"},
+    {417, "Expectation Failed"},
     {422, "Unprocessable Entity"},
     {429, "Too Many Requests"},
     {431, "Request Header Fields Too Large"},
@@ -35,20 +36,24 @@
     {502, "Bad Gateway"},
     {503, "Service Unavailable"},
     {504, "Gateway Timeout"},
+    {505, "HTTP Version Not Supported"},
+    {507, "Insufficient Storage"},
 }};
 
-constexpr std::array<std::string_view, 8> hop_by_hop_names{
-    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
-    "te",         "trailer",    "transfer-encoding",  "upgrade"};
+constexpr std::array<std::string_view, 9> hop_by_hop_names{"connection",
+                                                           "keep-alive",
+                                                           "proxy-authenticate",
+                                                           "proxy-authorization",
+                                                           "proxy-connection",
+                                                           "te",
+                                                           "trailer",
+                                                           "transfer-encoding",
+                                                           "upgrade"};
 
-/** True if a Connection header of the message names @p name. */
-bool named_by_connection(const http_headers& headers, std::string_view name)
+/** True if @p line, the value of a Connection header, names @p name. */
+bool names_header(std::string_view line, std::string_view name)
 {
-    const auto line = headers.find("connection");
-    if (!line) {
-        return false;
-    }
-    return std::ranges::any_of(std::views::split(*line, ','), [name](auto part) {
+    return std::ranges::any_of(std::views::split(line, ','), [name](auto part) {
         std::string_view token(part.begin(), part.end());
         token.remove_prefix(std::min(token.find_first_not_of(" \t"), token.size()));
         token = token.substr(0, token.find_last_not_of(" \t") + 1);
@@ -56,6 +61,14 @@
     });
 }
 
+/** True if a Connection header of the message names @p name. */
+bool named_by_connection(const http_headers& headers, std::string_view name)
+{
+    return std::ranges::any_of(headers.lines(), [name](const http_header& line) {
+        return equal_ignoring_case(line.name, "connection") && names_header(line.value, name);
+    });
+}
+
 } // namespace
 
 std::string_view status_phrase(int status)
@@ -79,7 +92,9 @@
 
 void append_status_line(std::string& out, int status)
 {
-    out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
+    out.append("HTTP/1.1 ");
+    append_number(out, static_cast<std::uint64_t>(status));
+    out.append(" ");
     out.append(status_phrase(status)).append("\r\n");
 }
 
@@ -90,24 +105,28 @@
 
 void append_end_to_end_headers(std::string& out, const http_headers& headers)
 {
-    for (const auto& line : headers.lines()) {
-        if (!is_hop_by_hop(headers, line.name) &&
-            !equal_ignoring_case(line.name, "content-length")) {
-            append_header(out, line.name, line.value);
-        }
-    }
+    append_end_to_end_headers(out, headers, [](std::string_view) { return true; });
 }
 
 void append_framing(std::string& out, body_framing framing, std::uint64_t length)
 {
     if (framing == body_framing::length) {
-        append_header(out, "Content-Length", std::to_string(length));
+        out.append("Content-Length: ");
+        append_number(out, length);
+        out.append("\r\n");
     }
     else if (framing != body_framing::none) {
         append_header(out, "Transfer-Encoding", "chunked");
     }
 }
 
+void append_number(std::string& out, std::uint64_t number)
+{
+    std::array<char, 20> digits{};
+    const auto result = std::to_chars(digits.data(), digits.data() + digits.size(), number);
+    out.append(digits.data(), result.ptr);
+}
+
 std::string chunk_prefix(std::size_t size)
 {
     constexpr int hexadecimal = 16;
--- a/src/http_write.hpp
+++ b/src/http_write.hpp
@@ -23,6 +23,22 @@
 void append_header(std::string& out, std::string_view name, std::string_view value);
 /** Appends every header that may be passed on, but those that frame the body. */
 void append_end_to_end_headers(std::string& out, const http_headers& headers);
+/**
+ * Appends every header that may be passed on, but those that frame the body.
+ * @param wanted called with each name; false leaves the header out.
+ */
+template <typename Wanted>
+void append_end_to_end_headers(std::string& out, const http_headers& headers, Wanted wanted)
+{
+    for (const auto& line : headers.lines()) {
+        const bool framing = equal_ignoring_case(line.name, "content-length");
+        if (!framing && !is_hop_by_hop(headers, line.name) && wanted(line.name)) {
+            append_header(out, line.name, line.value);
+        }
+    }
+}
+/** Appends a decimal number. */
+void append_number(std::string& out, std::uint64_t number);
 /** Appends the header that states a body's framing, if it needs one. */
 void append_framing(std::string& out, body_framing framing, std::uint64_t length);
 /** The line before a chunk of @p size bytes. */
