--- a/src/tests/dispatch_fleet.hpp
+++ b/src/tests/dispatch_fleet.hpp
@@ -39,6 +39,7 @@
     local_time asked;
     local_time deadline;
     std::optional<grant> held;
+    local_time granted;
     local_time ends;
     int answers = 0;
     std::optional<refusal> refused;
@@ -171,9 +172,9 @@
                 vm(to).on_message(message, clock.now(), clock.wall_now());
             }
         }
-        for (std::size_t at = 0; at < calls.size(); ++at) {
-            end_if_due(*calls[at]);
-        }
+        const auto running = running_;
+        std::ranges::for_each(running, [this](fake_call* call) { end_if_due(*call); });
+        std::erase_if(running_, [](const fake_call* call) { return call->done; });
         std::ranges::for_each(
             vms_, [this](auto& item) { item.second->tick(clock.now(), clock.wall_now()); });
     }
@@ -231,6 +232,8 @@
             return;
         }
         call.held = std::get<grant>(result);
+        call.granted = clock.now();
+        running_.push_back(&call);
         call.ends = std::min(clock.now() + service_time, call.deadline);
         auto& server = servers[call.held->server.server];
         ++server.in_flight;
@@ -267,6 +270,7 @@
         vm(call.home).release(*call.held, report, clock.now(), clock.wall_now());
     }
 
+    std::vector<fake_call*> running_;
     random_engine random_;
     bus_faults faults_;
     std::string policy_;
