--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PRESET ?= release
 BUILD := build/$(PRESET)
 
-.PHONY: deps build demo test lint format clean
+.PHONY: deps build demo test bench lint format clean
 
 deps:
 	@tools/install-deps.sh
@@ -17,6 +17,10 @@
 test: build
 	@ctest --preset $(PRESET)
 
+# BENCH=quick runs a short form; BENCH='full --append docs/BENCH.md' adds the tables to the page.
+bench: build
+	@tools/bench/run.sh --binary $(BUILD)/sniperock $(or $(BENCH),full)
+
 lint: deps
 	@tools/lint.sh
 
--- a/src/cli_standin.cpp
+++ b/src/cli_standin.cpp
@@ -2,12 +2,16 @@
 #include "cli_func.hpp"
 #include "cli_options.hpp"
 #include "cli_signal.hpp"
+#include "config_func.hpp"
 #include "demo_func.hpp"
 #include "finding_type.hpp"
+#include "standin_config.hpp"
 #include "standin_fleet.hpp"
 #include "standin_platform.hpp"
 
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
 namespace sniperock {
 namespace {
@@ -72,6 +76,8 @@
     add_number(options, "cold-factor", behaviour.cold_factor, "factor on service time while cold");
     add_number(options, "spell-factor", behaviour.spell_factor, "factor in a slow spell");
     add_number(options, "record-limit", behaviour.record_limit, "finished calls recorded");
+    options.add_options()("start-warm", po::bool_switch(&behaviour.starts_warm),
+                          "begin warm; later starts are cold for cold-ms");
     add_duration(options, "service-time-us", behaviour.service_time,
                  "mean of the exponential service time; 0 answers at once");
     add_duration(options, "connect-time-us", behaviour.connect_time, "time to open a connection");
@@ -111,6 +117,33 @@
     return exit_code::success;
 }
 
+std::string read_file(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf())) {
+        throw invalid_input({{path, 0, "", "cannot be read"}});
+    }
+    return text.str();
+}
+
+int run_standin_config(const arguments& args)
+{
+    po::options_description options("sniperock standin config: replaces the configuration in the "
+                                    "platform stand-in");
+    options.add_options()("port", po::value<int>()->default_value(7100), "the stand-in's port");
+    options.add_options()("file", po::value<std::string>()->required(),
+                          "JSON with revision, plans, allowances, services and availability");
+    const auto given = parse_options(options, args);
+    if (!given) {
+        return exit_code::success;
+    }
+    const auto path = (*given)["file"].as<std::string>();
+    store_client store("127.0.0.1", (*given)["port"].as<int>(), seconds{5});
+    seed_config(store, parse_snapshot(read_file(path), path));
+    return exit_code::success;
+}
+
 int run_standin(const arguments& args)
 {
     const std::string kind = args.empty() ? "" : args.front();
@@ -121,7 +154,10 @@
     if (kind == "server") {
         return run_standin_server(rest);
     }
-    std::cerr << "usage: sniperock standin platform|server [OPTIONS]\n";
+    if (kind == "config") {
+        return run_standin_config(rest);
+    }
+    std::cerr << "usage: sniperock standin platform|server|config [OPTIONS]\n";
     return kind == "--help" ? exit_code::success : exit_code::usage;
 }
 
--- a/src/demo_system.cpp
+++ b/src/demo_system.cpp
@@ -1,8 +1,8 @@
 /** @file demo_system.cpp The parts of the demonstration: platform, servers and entry vms. */
 #include "demo_system.hpp"
-#include "config_func.hpp"
 #include "hash_func.hpp"
 #include "settings_func.hpp"
+#include "standin_config.hpp"
 
 #include <algorithm>
 #include <numeric>
@@ -53,7 +53,7 @@
         config_.allowances.push_back({"gold", service.name, 3, 0, 0});
         config_.allowances.push_back({"basic", service.name, 1, 0, 0});
     }
-    put_config();
+    seed_config(store_, config_);
 }
 
 demo_system::~demo_system()
@@ -87,12 +87,6 @@
     return service;
 }
 
-void demo_system::put_config()
-{
-    const auto present = store_.get(config_key);
-    store_.put(config_key, format_snapshot(config_), present ? present->version : 0);
-}
-
 void demo_system::start()
 {
     constexpr milliseconds step{20};
@@ -116,13 +110,13 @@
 void demo_system::take_out(const std::string& domain)
 {
     config_.out.domains_out.insert(domain);
-    put_config();
+    seed_config(store_, config_);
 }
 
 void demo_system::take_back(const std::string& domain)
 {
     config_.out.domains_out.erase(domain);
-    put_config();
+    seed_config(store_, config_);
 }
 
 std::vector<std::string> demo_system::caller_endpoints() const
--- a/src/demo_system.hpp
+++ b/src/demo_system.hpp
@@ -55,7 +55,6 @@
 
 private:
     service_entry add_service(const std::string& name, std::uint16_t count);
-    void put_config();
 
     std::shared_ptr<run_ledger> ledger_;
     standin_platform platform_;
--- a/src/standin_model.cpp
+++ b/src/standin_model.cpp
@@ -10,7 +10,7 @@
     : behaviour_(std::move(behaviour)), random_(behaviour_.seed), cold_until_(now),
       grace_until_(now), down_until_(now), slow_until_(now), spell_begin_(now)
 {
-    if (behaviour_.cold_time.count() > 0) {
+    if (behaviour_.cold_time.count() > 0 && !behaviour_.starts_warm) {
         start_cold(now, milliseconds{0});
     }
     if (behaviour_.spell_every.count() > 0) {
--- a/src/standin_type.hpp
+++ b/src/standin_type.hpp
@@ -32,8 +32,10 @@
     /** Size of each answer's body in bytes. */
     std::size_t answer_bytes = 1024;
     std::uint64_t seed = 1;
-    /** Time from start until warm; 0 starts warm. */
+    /** Time from a cold start until warm; 0 has no cold start at the beginning. */
     milliseconds cold_time{0};
+    /** Begins warm, whatever cold_time says; later starts are cold. */
+    bool starts_warm = false;
     /** Calls finished until warm, if that comes before cold_time; 0 counts none. */
     std::uint64_t cold_calls = 0;
     /** Factor on the service time while cold. */
--- a/src/tests/standin_model_test.cpp
+++ b/src/tests/standin_model_test.cpp
@@ -74,6 +74,22 @@
     CHECK(model.record(clock.now()).phase == server_phase::warm);
 }
 
+TEST_CASE("a server that starts warm is cold after a restart")
+{
+    manual_clock clock;
+    auto behaviour = warm_behaviour();
+    behaviour.cold_time = milliseconds{1000};
+    behaviour.starts_warm = true;
+    server_model model(behaviour, clock.now());
+    CHECK(model.record(clock.now()).phase == server_phase::warm);
+    server_command order;
+    order.restart = true;
+    model.command(order, clock.now());
+    CHECK(model.record(clock.now()).phase == server_phase::cold);
+    clock.advance(milliseconds{1000});
+    CHECK(model.record(clock.now()).phase == server_phase::warm);
+}
+
 TEST_CASE("a cold server is warm after its number of calls")
 {
     manual_clock clock;
--- a/tools/install-deps.sh
+++ b/tools/install-deps.sh
@@ -9,6 +9,7 @@
     libmsgpack-cxx-dev libhttp-parser-dev nlohmann-json3-dev
     libxxhash-dev libssl-dev libbenchmark-dev libinih-dev
     clang-16 clang-format-16 clang-tidy-16 spin
+    python3
 )
 
 missing=()
