--- a/src/edge_attempt.cpp
+++ b/src/edge_attempt.cpp
@@ -50,7 +50,8 @@
     connect_timer_ =
         context_.timers.add(boot_clock::now() + context_.parts.limits.connect_timeout, [this] {
             const auto self = shared_from_this();
-            call_->attempt_failed(*this, "connect timeout");
+            const auto call = call_->shared_from_this();
+            call->attempt_failed(*this, "connect timeout");
         });
     try {
         const auto& endpoint = context_.pool.endpoint_of(slot());
@@ -59,13 +60,14 @@
                 if (self->ended_ || self->connection_ != at) {
                     return;
                 }
+                const auto call = self->call_->shared_from_this();
                 self->context_.timers.cancel(self->connect_timer_);
                 asio::error_code fault = error;
                 if (!fault) {
                     at->stream.prepare(fault);
                 }
                 if (fault) {
-                    self->call_->attempt_failed(*self, "connect: " + fault.message());
+                    call->attempt_failed(*self, "connect: " + fault.message());
                     return;
                 }
                 self->connected_now();
@@ -115,6 +117,7 @@
             if (self->ended_ || self->connection_ != at) {
                 return;
             }
+            const auto call = self->call_->shared_from_this();
             self->flushing_ = false;
             asio::error_code fault = error;
             if (!fault) {
@@ -127,7 +130,7 @@
             }
             self->await_flush();
             if (!self->backlogged()) {
-                self->call_->attempt_drained();
+                call->attempt_drained();
             }
         });
 }
@@ -145,6 +148,7 @@
     if (ended_) {
         return;
     }
+    const auto call = call_->shared_from_this();
     asio::error_code error;
     const auto size = connection_->stream.read(context_.upstream_input, error);
     if (error) {
@@ -161,7 +165,7 @@
     }
     catch (const http_syntax_error& fault) {
         if (!ended_) {
-            call_->attempt_failed(*this, fault.what());
+            call->attempt_failed(*this, fault.what());
         }
     }
 }
