--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -1,8 +1,9 @@
 /** @file entry_node.cpp Wires the parts of an entry vm together. */
 #include "entry_node.hpp"
-#include "config_func.hpp"
 #include "dispatch.hpp"
 #include "edge_server.hpp"
+#include "entry_config.hpp"
+#include "entry_schedule.hpp"
 #include "event_type.hpp"
 #include "locate.hpp"
 #include "metrics.hpp"
@@ -22,7 +23,6 @@
 namespace {
 
 constexpr milliseconds membership_period{250};
-constexpr milliseconds store_retry{200};
 
 edge_limits make_edge_limits(const entry_settings& settings)
 {
@@ -62,18 +62,22 @@
                 settings.store_timeout),
           link({settings.vm_name, life}, settings.peer_key_file),
           slots({{settings.vm_name, life}, settings.failure_domain},
-                {static_cast<std::size_t>(settings.queue_limit), settings.policy},
-                send_through(link)),
-          locator(settings.locate_keep, random_seed()),
+                {static_cast<std::size_t>(settings.queue_limit), settings.policy, random_seed()},
+                send_through(link), &measured),
+          schedule(slots, link, measured), locator(settings.locate_keep, random_seed()),
           edge(make_edge_limits(settings), slots, routers, locator, counters, measured),
-          pages(settings.admin_address, static_cast<int>(settings.admin_port))
+          pages(settings.admin_address, static_cast<int>(settings.admin_port)),
+          configuration(settings, link, measured)
     {
         routers.set(std::make_shared<const edge_router>(std::make_shared<config_snapshot>()));
+        configuration.subscribe([this](const auto& snapshot) { apply_config(snapshot); });
+        configuration.mount(pages.server());
     }
 
     void start()
     {
         edge.start();
+        schedule.start();
         link.start(settings.peer_address, static_cast<int>(settings.peer_port));
         pages.start([this] { return status_json(); }, [this] { return healthy(); },
                     [this] { return measured.text(); });
@@ -84,7 +88,7 @@
                 settings.admin_address + ":" + std::to_string(pages.port()),
                 life.value,
                 vm_state::live};
-        threads.emplace_back([this] { follow_config(); });
+        configuration.start();
         threads.emplace_back([this] { follow_members(); });
         log_event(event::entry_started, {{"vm", settings.vm_name},
                                          {"callers", self.caller_endpoint},
@@ -101,12 +105,13 @@
             stopping = true;
         }
         wake.notify_all();
-        store.cancel_watch();
+        configuration.stop();
         std::ranges::for_each(threads, [](std::thread& thread) { thread.join(); });
         threads.clear();
         edge.stop();
         pages.stop();
         link.stop();
+        schedule.stop();
         log_event(event::entry_stopped, {{"vm", settings.vm_name}});
     }
 
@@ -117,38 +122,13 @@
         return !wake.wait_for(lock, time, [this] { return stopping; });
     }
 
-    void follow_config()
+    void apply_config(const std::shared_ptr<const config_snapshot>& snapshot)
     {
-        object_version version = 0;
-        while (pause(milliseconds{0})) {
-            try {
-                const auto object = store.watch(config_key, version, settings.store_watch);
-                if (object) {
-                    version = object->version;
-                    apply_config(*object);
-                }
-            }
-            catch (const store_unavailable&) {
-                pause(store_retry);
-            }
-        }
-    }
-
-    void apply_config(const store_object& object)
-    {
-        try {
-            auto snapshot = parse_snapshot(object.value, config_key);
-            snapshot.revision.value = object.version;
-            const std::lock_guard lock(mutex);
-            config = std::make_shared<const config_snapshot>(std::move(snapshot));
-            routers.set(std::make_shared<const edge_router>(config));
-            assign_owners();
-            log_event(event::config_applied,
-                      {{"revision", std::to_string(config->revision.value)}});
-        }
-        catch (const invalid_input& fault) {
-            log_event(event::config_refused, {{"findings", fault.what()}});
-        }
+        const std::lock_guard lock(mutex);
+        config = snapshot;
+        routers.set(std::make_shared<const edge_router>(config));
+        slots.apply(config);
+        assign_owners();
     }
 
     void follow_members()
@@ -158,6 +138,7 @@
             try {
                 store.announce_vm(self);
                 auto records = store.list_vms();
+                configuration.set_vms(records);
                 const std::lock_guard lock(mutex);
                 vms = std::move(records);
                 connect_peers();
@@ -191,6 +172,7 @@
         const auto candidates = usable_candidates(vms, config->out);
         std::map<std::string, std::vector<server_entry>> owned;
         std::map<std::string, std::set<std::string>> services_by_vm;
+        ownership_view view;
         for (const auto& service : config->services) {
             auto& mine = owned[service.name];
             for (const auto& server : service.servers) {
@@ -201,12 +183,14 @@
                     choose_owner({service.name, server.name}, server.failure_domain, candidates,
                                  static_cast<std::size_t>(settings.owners_per_domain));
                 services_by_vm[owner].insert(service.name);
+                view.owners[{service.name, server.name}] = owner;
                 if (owner == settings.vm_name) {
                     mine.push_back(server);
                 }
             }
         }
         slots.set_owned(owned);
+        slots.set_view(std::make_shared<const ownership_view>(std::move(view)));
         std::vector<locate_entry> entries;
         for (const auto& vm : vms) {
             const auto& services = services_by_vm[vm.name];
@@ -231,11 +215,13 @@
                                 {"in_flight", item.in_flight},
                                 {"waiting", item.waiting}});
         }
+        auto configured = configuration.status();
         const std::lock_guard lock(mutex);
         return {{"vm", settings.vm_name},
                 {"failure_domain", settings.failure_domain},
                 {"version", SNIPEROCK_VERSION},
                 {"revision", config->revision.value},
+                {"configuration", std::move(configured)},
                 {"answered", counters.answered.load()},
                 {"not_run", counters.not_run.load()},
                 {"unknown", counters.unknown.load()},
@@ -254,11 +240,13 @@
     store_client store;
     peer_link link;
     dispatcher slots;
+    entry_schedule schedule;
     router_holder routers;
     locate_service locator;
     edge_counters counters;
     edge_server edge;
     page_server pages;
+    entry_config configuration;
     vm_record self;
     std::mutex mutex;
     std::condition_variable wake;
