--- a/src/bench_dispatch.cpp
+++ b/src/bench_dispatch.cpp
@@ -1,4 +1,5 @@
 /** @file bench_dispatch.cpp Measures how many grants a second one dispatcher gives. */
+#include "bench_edge.hpp"
 #include "cli_func.hpp"
 #include "cli_options.hpp"
 #include "dispatch.hpp"
@@ -108,7 +109,10 @@
     if (what == "dispatch") {
         return bench_dispatch(rest);
     }
-    std::cerr << "usage: sniperock bench dispatch [OPTIONS]\n";
+    if (what == "edge") {
+        return bench_edge(rest);
+    }
+    std::cerr << "usage: sniperock bench dispatch|edge [OPTIONS]\n";
     return what == "--help" ? exit_code::success : exit_code::usage;
 }
 
--- a/src/edge_attempt.cpp
+++ b/src/edge_attempt.cpp
@@ -191,7 +191,7 @@
         call_->attempt_complete(*this);
         return;
     }
-    call_->flush_answer();
+    call_->answer_goes_on();
     if (!ended_ && !call_->caller_backlogged()) {
         connection_->watch();
     }
--- a/src/edge_call.cpp
+++ b/src/edge_call.cpp
@@ -95,6 +95,10 @@
     if (ended_) {
         return;
     }
+    if (answering_ && !attempts_.empty()) {
+        // A second attempt that is needed no more; its slot is released unused.
+        return;
+    }
     if (const auto* no_slot = std::get_if<refusal>(&answer)) {
         slot_refused(*no_slot);
         return;
@@ -124,6 +128,10 @@
     ++tries_;
     const auto attempt = std::make_shared<edge_attempt>(*this, context_, std::move(slot));
     attempts_.push_back(attempt);
+    if (attempts_.size() > 1) {
+        hedged_ = true;
+        context_.parts.measured.hedges.Increment();
+    }
     const auto& limits = context_.parts.limits;
     const bool safe = request_.spec.kind == call_class::safe;
     attempt->open(safe ? limits.upstream_idle : limits.proven_for);
@@ -143,7 +151,7 @@
     }
 }
 
-/** Starts a second attempt if another server has a slot free right now. */
+/** Asks for a second server; one that is not free soon is not waited for. */
 void edge_call::hedge_due()
 {
     const auto self = shared_from_this();
@@ -151,14 +159,26 @@
         return;
     }
     request_.spec.avoid.push_back(attempts_.front()->slot().server.server);
-    const auto tries = tries_;
     request_slot();
-    if (waiting_ && context_.parts.slots.cancel(ticket_)) {
-        waiting_ = false;
+    if (waiting_ && !ended_) {
+        hedge_timer_ = context_.timers.add(boot_clock::now() + context_.parts.limits.hedge_wait,
+                                           [this] { give_up_hedge(); });
     }
-    if (tries_ > tries) {
-        hedged_ = true;
-        context_.parts.measured.hedges.Increment();
+}
+
+/** Leaves the queue, unless the first attempt has failed meanwhile and this is its retry. */
+void edge_call::give_up_hedge()
+{
+    if (!attempts_.empty()) {
+        leave_queue();
+    }
+}
+
+void edge_call::leave_queue()
+{
+    if (waiting_ && ticket_.value != 0 && context_.parts.slots.cancel(ticket_)) {
+        waiting_ = false;
+        ticket_ = {};
     }
 }
 
@@ -374,24 +394,6 @@
     }
 }
 
-void edge_call::attempt_head(edge_attempt& attempt)
-{
-    if (!answering_ && attempt.head().headers.find(edge_header::not_run).value_or("") == "1") {
-        attempt_shed(attempt);
-        return;
-    }
-    if (answering_) {
-        if (!go_on_answer(attempt)) {
-            attempt.end(call_result::failed);
-            cut();
-        }
-        return;
-    }
-    lose_others(attempt);
-    request_.latency->add(boot_clock::now() - attempt.started());
-    begin_answer(attempt);
-}
-
 void edge_call::lose_others(const edge_attempt& winner)
 {
     if (hedged_ && attempts_.size() > 1 && attempts_.back().get() == &winner) {
@@ -408,148 +410,6 @@
     }
 }
 
-void edge_call::begin_answer(edge_attempt& attempt)
-{
-    answering_ = true;
-    context_.timers.cancel(deadline_timer_);
-    context_.timers.cancel(hedge_timer_);
-    last_progress_ = boot_clock::now();
-    context_.caller_output.clear();
-    if (!body_complete_) {
-        session_->close_after_call();
-    }
-    relay_.begin(context_.caller_output, session_->request(), attempt.head(),
-                 session_->closing_after_call());
-}
-
-/** Takes the head of a resumed download. @return false if it is not exactly the rest. */
-bool edge_call::go_on_answer(edge_attempt& attempt)
-{
-    context_.caller_output.clear();
-    context_.timers.cancel(deadline_timer_);
-    last_progress_ = boot_clock::now();
-    return relay_.fits(attempt.head());
-}
-
-void edge_call::attempt_body(const std::vector<std::string_view>& pieces)
-{
-    /** Pieces up to this size are copied behind the head, so that one write takes all. */
-    constexpr std::size_t max_copied = 16'384;
-    auto& out = context_.caller_output;
-    for (const auto piece : pieces) {
-        relay_.passed(piece.size());
-        if (relay_.chunked()) {
-            out.append(chunk_prefix(piece.size()));
-        }
-        if (piece.size() <= max_copied) {
-            out.append(piece);
-        }
-        else {
-            const std::array<std::string_view, 2> parts{out, piece};
-            if (!session_->write(parts)) {
-                caller_gone();
-                return;
-            }
-            out.clear();
-        }
-        if (relay_.chunked()) {
-            out.append(chunk_suffix);
-        }
-    }
-    last_progress_ = boot_clock::now();
-}
-
-void edge_call::flush_answer()
-{
-    if (ended_ || !answering_) {
-        return;
-    }
-    auto& out = context_.caller_output;
-    if (!out.empty()) {
-        const std::string_view whole{out};
-        const bool written = session_->write({&whole, 1});
-        out.clear();
-        if (!written) {
-            caller_gone();
-            return;
-        }
-    }
-    if (progress_timer_.second == 0) {
-        check_progress();
-    }
-}
-
-/** Ends a body in which nothing moves; runs again and again until the answer is whole. */
-void edge_call::check_progress()
-{
-    const auto self = shared_from_this();
-    const auto limit = last_progress_ + context_.parts.limits.stall_timeout;
-    if (ended_) {
-        return;
-    }
-    if (boot_clock::now() < limit) {
-        progress_timer_ = context_.timers.add(limit, [this] { check_progress(); });
-        return;
-    }
-    progress_timer_ = {};
-    if (session_->backlogged() || attempts_.empty()) {
-        cut();
-        return;
-    }
-    const auto attempt = attempts_.front();
-    attempt->distrust_server();
-    attempt_failed(*attempt, "silent in mid-body");
-}
-
-void edge_call::caller_drained()
-{
-    if (ended_ || !answering_) {
-        return;
-    }
-    last_progress_ = boot_clock::now();
-    if (!attempts_.empty()) {
-        attempts_.front()->resume_reading();
-    }
-}
-
-void edge_call::attempt_complete(edge_attempt& attempt)
-{
-    const auto self = shared_from_this();
-    if (relay_.chunked()) {
-        context_.caller_output.append(last_chunk);
-    }
-    flush_answer();
-    if (ended_) {
-        return;
-    }
-    remove(attempt);
-    attempt.end(call_result::answered);
-    context_.parts.counters.answered.fetch_add(1, std::memory_order_relaxed);
-    request_.series->answered(request_.spec.kind, boot_clock::now() - request_.started);
-    end(true);
-}
-
-/** The connection broke in mid-body: goes on from another server or breaks off visibly. */
-void edge_call::broken_off()
-{
-    const auto most = std::min(context_.parts.limits.max_attempts, request_.servers);
-    const bool wanted = relay_.resumable() && tries_ < most;
-    if (ended_) {
-        return;
-    }
-    if (!wanted || !context_.retries.spend()) {
-        cut();
-        return;
-    }
-    context_.parts.measured.resumes.Increment();
-    context_.timers.cancel(progress_timer_);
-    progress_timer_ = {};
-    request_.spec.deadline = boot_clock::now() + context_.parts.limits.stall_timeout;
-    context_.timers.cancel(deadline_timer_);
-    deadline_timer_ = context_.timers.add(request_.spec.deadline, [this] { deadline_passed(); });
-    request_slot();
-}
-
 void edge_call::refuse(local_answer answer)
 {
     const auto self = shared_from_this();
@@ -615,9 +475,7 @@
     context_.timers.cancel(deadline_timer_);
     context_.timers.cancel(hedge_timer_);
     context_.timers.cancel(progress_timer_);
-    if (waiting_ && ticket_.value != 0) {
-        context_.parts.slots.cancel(ticket_);
-    }
+    leave_queue();
     const auto left = std::exchange(attempts_, {});
     std::ranges::for_each(left, [](const auto& attempt) { attempt->end(call_result::cancelled); });
     context_.parts.counters.running.fetch_sub(1, std::memory_order_relaxed);
--- a/src/edge_call.hpp
+++ b/src/edge_call.hpp
@@ -59,8 +59,8 @@
     void attempt_body(const std::vector<std::string_view>& pieces);
     void attempt_complete(edge_attempt& attempt);
     void attempt_drained();
-    /** Writes what of the answer is ready. */
-    void flush_answer();
+    /** Writes what of the answer is ready; more is to come. */
+    void answer_goes_on();
 
 private:
     using slot_answer = std::variant<held_slot, refusal>;
@@ -72,7 +72,10 @@
     void begin_attempt(held_slot slot);
     void schedule_hedge();
     void hedge_due();
+    void give_up_hedge();
+    void leave_queue();
     void deadline_passed();
+    void flush_answer();
     void check_progress();
     void send_request(edge_attempt& attempt);
     void attempt_shed(edge_attempt& attempt);
--- a/src/edge_type.hpp
+++ b/src/edge_type.hpp
@@ -45,6 +45,8 @@
     double hedge_quantile = 0.98;
     /** Least wait before a second attempt. */
     milliseconds hedge_least{5};
+    /** Longest wait of a second attempt for a slot. */
+    milliseconds hedge_wait{10};
     /** Most servers tried for one call. */
     std::size_t max_attempts = 4;
     /** How long idle connections are kept at the start of a drain. */
--- a/src/tests/edge_fixture.hpp
+++ b/src/tests/edge_fixture.hpp
@@ -238,7 +238,13 @@
     }
     edge_server& edge() { return edge_; }
     edge_counters& counters() { return counters_; }
-    [[nodiscard]] std::string metrics_text() const { return measured_.text(); }
+    /** The value of a counter without labels. */
+    [[nodiscard]] double counter_value(const std::string& name) const
+    {
+        const auto text = "\n" + measured_.text();
+        const auto at = text.find("\n" + name + " ");
+        return at == std::string::npos ? -1 : std::stod(text.substr(at + name.size() + 2));
+    }
 
 private:
     asio::io_context io_;
--- a/src/tests/edge_outcome_test.cpp
+++ b/src/tests/edge_outcome_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace sniperock;
 
 namespace {
@@ -16,11 +18,24 @@
     return acceptor.local_endpoint().port();
 }
 
-/** Reads a request and closes without an answer. */
-void die_in_call(test_connection& peer)
-{
-    peer.read_head();
-}
+/** Servers that answer, but for those calls, counted over all of them, that make them die. */
+class mortal_servers {
+public:
+    explicit mortal_servers(std::set<int> deadly) : deadly_(std::move(deadly)) {}
+
+    scripted_server::script script()
+    {
+        return [this](test_connection& peer) {
+            while (!peer.read_head().empty() && !deadly_.contains(calls_++)) {
+                peer.send(answer_of("hello"));
+            }
+        };
+    }
+
+private:
+    std::set<int> deadly_;
+    std::atomic<int> calls_{0};
+};
 
 } // namespace
 
@@ -76,24 +91,26 @@
 
 TEST_CASE("safe and idempotent calls go on to another server after a failure")
 {
-    scripted_server dying(die_in_call);
-    scripted_server server(always("hello"));
-    edge_rig rig({dying.port(), server.port()});
+    mortal_servers servers({0, 2});
+    scripted_server first(servers.script());
+    scripted_server second(servers.script());
+    edge_rig rig({first.port(), second.port()});
     for (const auto* method : {"GET", "PUT"}) {
-        const auto answer = rig.ask(method, "Content-Length: 2\r\n", "ab");
+        const auto answer = rig.ask(method);
         CHECK(header_of(answer, "X-Outcome") == "answered");
     }
-    CHECK(rig.metrics_text().find("sniperock_retries_total 2") != std::string::npos);
+    CHECK(rig.counter_value("sniperock_retries_total") == 2);
 }
 
 TEST_CASE("retries stay within their budget")
 {
-    scripted_server dying(die_in_call);
-    scripted_server server(always("hello"));
+    mortal_servers servers({0, 2});
+    scripted_server first(servers.script());
+    scripted_server second(servers.script());
     auto limits = edge_rig::quick_limits();
     limits.retry_burst = 1;
     limits.retry_ratio = 0;
-    edge_rig rig({dying.port(), server.port()}, limits);
+    edge_rig rig({first.port(), second.port()}, limits);
     CHECK(header_of(rig.ask("GET"), "X-Outcome") == "answered");
     const auto answer = rig.ask("GET");
     CHECK(header_of(answer, "X-Outcome") == "unknown");
@@ -180,23 +197,26 @@
 {
     std::atomic<bool> slow{false};
     std::atomic<bool> dropped{false};
-    scripted_server first([&](test_connection& peer) {
+    const auto script = [&](test_connection& peer) {
         while (!peer.read_head().empty()) {
-            if (slow) {
+            if (slow.exchange(false)) {
                 dropped = peer.wait_closed();
                 return;
             }
-            peer.send(answer_of("first"));
+            peer.send(answer_of("hello"));
         }
-    });
-    scripted_server second(always("second"));
+    };
+    scripted_server first(script);
+    scripted_server second(script);
     edge_rig rig({first.port(), second.port()});
     constexpr int enough_samples = 120;
     for (int call = 0; call < enough_samples; ++call) {
-        REQUIRE(rig.ask("GET").ends_with("first"));
+        REQUIRE(rig.ask("GET").ends_with("hello"));
     }
+    const auto hedges_before = rig.counter_value("sniperock_hedges_won_total");
     slow = true;
-    CHECK(rig.ask("GET").ends_with("second"));
+    CHECK(rig.ask("GET").ends_with("hello"));
+    CHECK_FALSE(slow);
     CHECK(eventually([&] { return dropped.load() && rig.in_flight() == 0; }));
-    CHECK(rig.metrics_text().find("sniperock_hedges_won_total 1") != std::string::npos);
+    CHECK(rig.counter_value("sniperock_hedges_won_total") == hedges_before + 1);
 }
