Feature: make model checks ownership and rejects eleven wrong variants

Cause: a model that is checked by hand once proves nothing about tomorrow's change of it. Change: tools/model.sh runs the checker over every bound and every wrong variant and compares verdicts.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,9 @@
 bench: build
 	@tools/bench/run.sh --binary $(BUILD)/sniperock $(or $(BENCH),full)
 
+model: deps
+	@tools/model.sh
+
 lint: deps
 	@tools/lint.sh
 
--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -137,6 +137,9 @@
     fi
 }
 
+#ifdef WRONG_NEVER_TAKES
+#define fenced(v, ep) false
+#else
 #ifdef WRONG_NO_WAIT_AT_TAKEOVER
 #define fenced(v, ep) true
 #else
@@ -151,6 +154,7 @@
 #endif
 #endif
 #endif
+#endif
 
 /* settled(e): nobody but v may still grant on the word of epoch e. */
 #ifdef WRONG_OWN_EARLIER_EPOCH_ONLY
