Feature: Entry processes own servers by epoch, lease and hand-over

Cause: entry_node followed the list of vms and assigned owners from it by itself.

Change: entry_ownership runs the driver on one thread, the store's calls, the watch and the list on theirs; settings, events, metrics and the status page show it. Incarnations grow with time. The wait after the commit is left out of the fence: the majority is seen after it. Schedules cut single links as well.

--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -3,10 +3,11 @@
 #include "config_func.hpp"
 #include "dispatch.hpp"
 #include "edge_server.hpp"
+#include "entry_ownership.hpp"
 #include "event_type.hpp"
 #include "locate.hpp"
+#include "member_incarnation.hpp"
 #include "metrics.hpp"
-#include "ownership_rendezvous.hpp"
 #include "page_server.hpp"
 #include "peer_link.hpp"
 #include "random_type.hpp"
@@ -21,7 +22,6 @@
 namespace sniperock {
 namespace {
 
-constexpr milliseconds membership_period{250};
 constexpr milliseconds store_retry{200};
 
 edge_limits make_edge_limits(const entry_settings& settings)
@@ -38,18 +38,18 @@
     return limits;
 }
 
-std::vector<owner_candidate> usable_candidates(const std::vector<vm_record>& vms,
-                                               const availability& out)
+/** The incarnation of a process that starts now, above any that the platform's list shows. */
+incarnation choose_incarnation(const std::string& vm, store_client& store)
 {
-    std::vector<owner_candidate> candidates;
-    for (const auto& vm : vms) {
-        const bool usable = vm.state == vm_state::live && !out.vms_out.contains(vm.name) &&
-                            !out.domains_out.contains(vm.failure_domain);
-        if (usable) {
-            candidates.push_back({vm.name, vm.failure_domain});
-        }
+    std::vector<vm_record> listed;
+    try {
+        listed = store.list_vms();
+    }
+    catch (const store_unavailable&) {
+        // The wall clock alone decides.
+        listed.clear();
     }
-    return candidates;
+    return new_incarnation(vm, listed, system_clock_source::wall_now(), random_seed());
 }
 
 } // namespace
@@ -60,11 +60,14 @@
         : settings(std::move(with)),
           store(settings.store_address, static_cast<int>(settings.store_port),
                 settings.store_timeout),
+          life(choose_incarnation(settings.vm_name, store)),
           link({settings.vm_name, life}, settings.peer_key_file),
           slots(dispatch_limits{static_cast<std::size_t>(settings.queue_limit)}),
           locator(settings.locate_keep, random_seed()),
           edge(make_edge_limits(settings), slots, routers, locator, counters),
-          pages(settings.admin_address, static_cast<int>(settings.admin_port))
+          pages(settings.admin_address, static_cast<int>(settings.admin_port)),
+          ownership(settings, life, slots, link, measured,
+                    {{}, [this](auto entries) { locator.set_entries(std::move(entries)); }})
     {
         routers.set(std::make_shared<const edge_router>(std::make_shared<config_snapshot>()));
     }
@@ -83,7 +86,7 @@
                 life.value,
                 vm_state::live};
         threads.emplace_back([this] { follow_config(); });
-        threads.emplace_back([this] { follow_members(); });
+        ownership.start(self);
         log_event(event::entry_started, {{"vm", settings.vm_name},
                                          {"callers", self.caller_endpoint},
                                          {"admin", self.admin_endpoint}});
@@ -100,6 +103,7 @@
         }
         wake.notify_all();
         store.cancel_watch();
+        ownership.stop();
         std::ranges::for_each(threads, [](std::thread& thread) { thread.join(); });
         threads.clear();
         edge.stop();
@@ -140,7 +144,7 @@
             const std::lock_guard lock(mutex);
             config = std::make_shared<const config_snapshot>(std::move(snapshot));
             routers.set(std::make_shared<const edge_router>(config));
-            assign_owners();
+            ownership.set_config(config);
             log_event(event::config_applied,
                       {{"revision", std::to_string(config->revision.value)}});
         }
@@ -149,76 +153,6 @@
         }
     }
 
-    void follow_members()
-    {
-        bool reachable = true;
-        while (pause(milliseconds{0})) {
-            try {
-                store.announce_vm(self);
-                auto records = store.list_vms();
-                const std::lock_guard lock(mutex);
-                vms = std::move(records);
-                connect_peers();
-                assign_owners();
-                reachable = true;
-            }
-            catch (const store_unavailable& fault) {
-                if (std::exchange(reachable, false)) {
-                    log_event(event::store_lost, {{"reason", fault.what()}});
-                }
-            }
-            pause(membership_period);
-        }
-    }
-
-    /** Connects to every other vm of the list; the caller holds the mutex. */
-    void connect_peers()
-    {
-        std::vector<peer_address> peers;
-        for (const auto& vm : vms) {
-            if (vm.name != settings.vm_name) {
-                peers.push_back({vm.name, vm.peer_endpoint});
-            }
-        }
-        link.set_peers(peers);
-    }
-
-    /** Recomputes owners and locate answers; the caller holds the mutex. */
-    void assign_owners()
-    {
-        const auto candidates = usable_candidates(vms, config->out);
-        std::map<std::string, std::vector<server_entry>> owned;
-        std::map<std::string, std::set<std::string>> services_by_vm;
-        for (const auto& service : config->services) {
-            auto& mine = owned[service.name];
-            for (const auto& server : service.servers) {
-                if (config->out.domains_out.contains(server.failure_domain)) {
-                    continue;
-                }
-                const auto owner =
-                    choose_owner({service.name, server.name}, server.failure_domain, candidates,
-                                 static_cast<std::size_t>(settings.owners_per_domain));
-                services_by_vm[owner].insert(service.name);
-                if (owner == settings.vm_name) {
-                    mine.push_back(server);
-                }
-            }
-        }
-        slots.set_owned(owned);
-        std::vector<locate_entry> entries;
-        for (const auto& vm : vms) {
-            const auto& services = services_by_vm[vm.name];
-            const bool out = config->out.vms_out.contains(vm.name) ||
-                             config->out.domains_out.contains(vm.failure_domain);
-            entries.push_back({vm.name,
-                               vm.failure_domain,
-                               vm.caller_endpoint,
-                               out || vm.state == vm_state::leaving,
-                               {services.begin(), services.end()}});
-        }
-        locator.set_entries(std::move(entries));
-    }
-
     nlohmann::json status_json()
     {
         nlohmann::json services = nlohmann::json::array();
@@ -237,19 +171,20 @@
                 {"answered", counters.answered.load()},
                 {"not_run", counters.not_run.load()},
                 {"unknown", counters.unknown.load()},
+                {"ownership", ownership.status()},
                 {"services", std::move(services)}};
     }
 
     bool healthy()
     {
         const std::lock_guard lock(mutex);
-        return config->revision.value > 0;
+        return config->revision.value > 0 && ownership.is_member();
     }
 
     entry_settings settings;
     metrics measured;
-    incarnation life{random_seed()};
     store_client store;
+    incarnation life;
     peer_link link;
     dispatcher slots;
     router_holder routers;
@@ -262,8 +197,8 @@
     std::condition_variable wake;
     bool stopping = false;
     std::shared_ptr<const config_snapshot> config = std::make_shared<const config_snapshot>();
-    std::vector<vm_record> vms;
     std::vector<std::thread> threads;
+    entry_ownership ownership;
 };
 
 entry_node::entry_node(entry_settings settings) : impl_(std::make_unique<impl>(std::move(settings)))
--- a/src/epoch_machine.cpp
+++ b/src/epoch_machine.cpp
@@ -168,7 +168,7 @@
     for (const auto& earlier : object.unfenced) {
         const auto known = fences_.find(earlier.number);
         fences[earlier.number] =
-            known == fences_.end() ? fence_state{earlier, now, {}, false} : known->second;
+            known == fences_.end() ? fence_state{earlier, {}, false} : known->second;
     }
     fences_ = std::move(fences);
     adopted_ = std::make_shared<const epoch_object>(object);
@@ -208,8 +208,7 @@
         if (!state.majority_seen && static_cast<std::size_t>(moved) >= majority_of(state.epoch)) {
             state.majority_seen = now;
         }
-        state.done = state.majority_seen && now > *state.majority_seen + wait &&
-                     now > state.newer_known + wait;
+        state.done = state.majority_seen && now > *state.majority_seen + wait;
         if (state.done) {
             out.emplace_back(epoch_fenced{number});
         }
--- a/src/epoch_machine.hpp
+++ b/src/epoch_machine.hpp
@@ -83,9 +83,8 @@
     /** Progress towards the fence of one earlier epoch. */
     struct fence_state {
         epoch_membership epoch;
-        /** When a newer epoch was first known here. */
-        local_time newer_known;
-        /** When a majority was first seen to have moved on. */
+        /** When a majority was first seen to have moved on; the commit of a newer epoch came
+         * before that. */
         std::optional<local_time> majority_seen;
         bool done = false;
     };
--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -20,6 +20,13 @@
     server_failed = 300,
     // 4xx: ownership.
     epoch_adopted = 400,
+    epoch_fenced = 401,
+    servers_gained = 402,
+    servers_given_up = 403,
+    vm_superseded = 404,
+    epoch_malformed = 405,
+    leave_started = 406,
+    leave_ended = 407,
     // 5xx: store.
     store_lost = 500,
     store_back = 501,
--- a/src/ownership_type.hpp
+++ b/src/ownership_type.hpp
@@ -19,6 +19,8 @@
     std::string holder;
     /** The server must not run the call past this. */
     wall_time fence;
+    /** Plan of the call, which counts against the plan's limits. */
+    std::string plan;
 };
 
 /** State of one server as its owner gives it up. */
@@ -27,6 +29,10 @@
     /** The concurrency limit learned so far. */
     std::uint32_t limit = 1;
     std::vector<outstanding_permit> outstanding;
+    /** Last active probe that the server's probe budget paid for; 1970 if there was none. */
+    wall_time last_probe;
+    /** The next owner uses the server's part of the plans' limits from then on. */
+    wall_time limits_from;
 };
 
 /** How this vm came to own a server. */
--- a/src/ownership_wire.cpp
+++ b/src/ownership_wire.cpp
@@ -34,7 +34,8 @@
     std::uint64_t permit = 0;
     std::string holder;
     std::int64_t fence_us = 0;
-    MSGPACK_DEFINE(permit, holder, fence_us)
+    std::string plan;
+    MSGPACK_DEFINE(permit, holder, fence_us, plan)
 };
 
 struct wire_server {
@@ -42,7 +43,9 @@
     std::string server;
     std::uint32_t limit = 1;
     std::vector<wire_permit> outstanding;
-    MSGPACK_DEFINE(service, server, limit, outstanding)
+    std::int64_t last_probe_us = 0;
+    std::int64_t limits_from_us = 0;
+    MSGPACK_DEFINE(service, server, limit, outstanding, last_probe_us, limits_from_us)
 };
 
 struct wire_handover {
@@ -59,19 +62,29 @@
 
 wire_server to_wire(const server_handover& state)
 {
-    wire_server wire{state.server.service, state.server.server, state.limit, {}};
+    wire_server wire;
+    wire.service = state.server.service;
+    wire.server = state.server.server;
+    wire.limit = state.limit;
+    wire.last_probe_us = to_unix_us(state.last_probe);
+    wire.limits_from_us = to_unix_us(state.limits_from);
     for (const auto& permit : state.outstanding) {
-        wire.outstanding.push_back({permit.permit.value, permit.holder, to_unix_us(permit.fence)});
+        wire.outstanding.push_back(
+            {permit.permit.value, permit.holder, to_unix_us(permit.fence), permit.plan});
     }
     return wire;
 }
 
 server_handover from_wire(const wire_server& wire)
 {
-    server_handover state{{wire.service, wire.server}, wire.limit, {}};
+    server_handover state;
+    state.server = {wire.service, wire.server};
+    state.limit = wire.limit;
+    state.last_probe = from_unix_us(wire.last_probe_us);
+    state.limits_from = from_unix_us(wire.limits_from_us);
     for (const auto& permit : wire.outstanding) {
         state.outstanding.push_back(
-            {permit_id{permit.permit}, permit.holder, from_unix_us(permit.fence_us)});
+            {permit_id{permit.permit}, permit.holder, from_unix_us(permit.fence_us), permit.plan});
     }
     return state;
 }
--- a/src/settings_type.hpp
+++ b/src/settings_type.hpp
@@ -37,6 +37,16 @@
     milliseconds default_deadline{};
     milliseconds locate_keep{};
     std::int64_t owners_per_domain{};
+    milliseconds ownership_term{};
+    milliseconds ownership_margin{};
+    milliseconds ownership_permit_life{};
+    milliseconds member_heartbeat{};
+    milliseconds member_suspicion{};
+    milliseconds member_join_window{};
+    milliseconds member_hold_down{};
+    milliseconds member_list_lag{};
+    milliseconds member_list_period{};
+    milliseconds member_leave_bound{};
     std::string policy;
     std::int64_t queue_limit{};
 };
--- a/src/tests/epoch_property_test.cpp
+++ b/src/tests/epoch_property_test.cpp
@@ -44,7 +44,7 @@
 void disturb(world& all)
 {
     const auto vm = all.any(all.hosts.size());
-    switch (all.any(12)) {
+    switch (all.any(14)) {
     case 0:
     case 1:
         all.crash(vm, all.chance(30));
@@ -83,6 +83,11 @@
     case 10:
         all.change_config();
         break;
+    case 11:
+    case 12:
+        all.heal();
+        all.scramble();
+        break;
     default:
         all.leave(vm);
         break;
--- a/src/tests/epoch_simulation.hpp
+++ b/src/tests/epoch_simulation.hpp
@@ -50,7 +50,7 @@
         std::vector<server_handover> states;
         for (const auto& server : servers) {
             held.erase(server);
-            states.push_back({server, 1, {}});
+            states.emplace_back().server = server;
         }
         return states;
     }
@@ -119,6 +119,8 @@
     void leave(std::size_t vm);
     void pause(std::size_t vm, nanoseconds time) { hosts[vm].paused_until = now + time; }
     void cut(const std::set<std::size_t>& side, bool both_ways);
+    /** Cuts single links and single vms' ways to the store at random. */
+    void scramble();
     void heal();
     void change_config();
 
@@ -401,6 +403,18 @@
     }
 }
 
+inline void world::scramble()
+{
+    for (auto& from : hosts) {
+        from.store_reachable = chance(50);
+        for (std::size_t to = 0; to < hosts.size(); ++to) {
+            if (chance(30)) {
+                from.unreachable.insert(to);
+            }
+        }
+    }
+}
+
 inline void world::heal()
 {
     for (auto& at : hosts) {
