Codechange: Join ownership by epoch with permits, configuration and draining on one path

Change: entry_node takes owners, leases and hand-overs from entry_ownership; the configuration and the list of vms go through it; the old assignment from the list is gone.

--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -1,9 +1,10 @@
 /** @file entry_node.cpp Wires the parts of an entry vm together. */
 #include "entry_node.hpp"
-#include "config_func.hpp"
 #include "dispatch.hpp"
 #include "edge_server.hpp"
+#include "entry_config.hpp"
 #include "entry_ownership.hpp"
+#include "entry_schedule.hpp"
 #include "event_type.hpp"
 #include "locate.hpp"
 #include "member_incarnation.hpp"
@@ -13,17 +14,11 @@
 #include "random_type.hpp"
 #include "store_client.hpp"
 
-#include <algorithm>
-#include <atomic>
-#include <condition_variable>
-#include <iterator>
-#include <thread>
+#include <mutex>
 
 namespace sniperock {
 namespace {
 
-constexpr milliseconds store_retry{200};
-
 edge_limits make_edge_limits(const entry_settings& settings)
 {
     edge_limits limits;
@@ -62,19 +57,26 @@
                 settings.store_timeout),
           life(choose_incarnation(settings.vm_name, store)),
           link({settings.vm_name, life}, settings.peer_key_file),
-          slots(dispatch_limits{static_cast<std::size_t>(settings.queue_limit)}),
-          locator(settings.locate_keep, random_seed()),
-          edge(make_edge_limits(settings), slots, routers, locator, counters),
+          slots({{settings.vm_name, life}, settings.failure_domain},
+                {static_cast<std::size_t>(settings.queue_limit), settings.policy, random_seed()},
+                send_through(link), &measured),
+          schedule(slots, link, measured), locator(settings.locate_keep, random_seed()),
+          edge(make_edge_limits(settings), slots, routers, locator, counters, measured),
           pages(settings.admin_address, static_cast<int>(settings.admin_port)),
+          configuration(settings, link, measured),
           ownership(settings, life, slots, link, measured,
-                    {{}, [this](auto entries) { locator.set_entries(std::move(entries)); }})
+                    {[this](const auto& records) { configuration.set_vms(records); },
+                     [this](auto entries) { locator.set_entries(std::move(entries)); }})
     {
         routers.set(std::make_shared<const edge_router>(std::make_shared<config_snapshot>()));
+        configuration.subscribe([this](const auto& snapshot) { apply_config(snapshot); });
+        configuration.mount(pages.server());
     }
 
     void start()
     {
         edge.start();
+        schedule.start();
         link.start(settings.peer_address, static_cast<int>(settings.peer_port));
         pages.start([this] { return status_json(); }, [this] { return healthy(); },
                     [this] { return measured.text(); });
@@ -85,8 +87,8 @@
                 settings.admin_address + ":" + std::to_string(pages.port()),
                 life.value,
                 vm_state::live};
-        threads.emplace_back([this] { follow_config(); });
         ownership.start(self);
+        configuration.start();
         log_event(event::entry_started, {{"vm", settings.vm_name},
                                          {"callers", self.caller_endpoint},
                                          {"admin", self.admin_endpoint}});
@@ -101,56 +103,22 @@
             }
             stopping = true;
         }
-        wake.notify_all();
-        store.cancel_watch();
         ownership.stop();
-        std::ranges::for_each(threads, [](std::thread& thread) { thread.join(); });
-        threads.clear();
+        configuration.stop();
         edge.stop();
         pages.stop();
         link.stop();
+        schedule.stop();
         log_event(event::entry_stopped, {{"vm", settings.vm_name}});
     }
 
-    /** Sleeps for @p time. @return false if the node is stopping. */
-    bool pause(milliseconds time)
-    {
-        std::unique_lock lock(mutex);
-        return !wake.wait_for(lock, time, [this] { return stopping; });
-    }
-
-    void follow_config()
-    {
-        object_version version = 0;
-        while (pause(milliseconds{0})) {
-            try {
-                const auto object = store.watch(config_key, version, settings.store_watch);
-                if (object) {
-                    version = object->version;
-                    apply_config(*object);
-                }
-            }
-            catch (const store_unavailable&) {
-                pause(store_retry);
-            }
-        }
-    }
-
-    void apply_config(const store_object& object)
+    void apply_config(const std::shared_ptr<const config_snapshot>& snapshot)
     {
-        try {
-            auto snapshot = parse_snapshot(object.value, config_key);
-            snapshot.revision.value = object.version;
-            const std::lock_guard lock(mutex);
-            config = std::make_shared<const config_snapshot>(std::move(snapshot));
-            routers.set(std::make_shared<const edge_router>(config));
-            ownership.set_config(config);
-            log_event(event::config_applied,
-                      {{"revision", std::to_string(config->revision.value)}});
-        }
-        catch (const invalid_input& fault) {
-            log_event(event::config_refused, {{"findings", fault.what()}});
-        }
+        const std::lock_guard lock(mutex);
+        config = snapshot;
+        routers.set(std::make_shared<const edge_router>(config));
+        slots.apply(config);
+        ownership.set_config(config);
     }
 
     nlohmann::json status_json()
@@ -163,11 +131,13 @@
                                 {"in_flight", item.in_flight},
                                 {"waiting", item.waiting}});
         }
+        auto configured = configuration.status();
         const std::lock_guard lock(mutex);
         return {{"vm", settings.vm_name},
                 {"failure_domain", settings.failure_domain},
                 {"version", SNIPEROCK_VERSION},
                 {"revision", config->revision.value},
+                {"configuration", std::move(configured)},
                 {"answered", counters.answered.load()},
                 {"not_run", counters.not_run.load()},
                 {"unknown", counters.unknown.load()},
@@ -187,17 +157,17 @@
     incarnation life;
     peer_link link;
     dispatcher slots;
+    entry_schedule schedule;
     router_holder routers;
     locate_service locator;
     edge_counters counters;
     edge_server edge;
     page_server pages;
+    entry_config configuration;
     vm_record self;
     std::mutex mutex;
-    std::condition_variable wake;
     bool stopping = false;
     std::shared_ptr<const config_snapshot> config = std::make_shared<const config_snapshot>();
-    std::vector<std::thread> threads;
     entry_ownership ownership;
 };
 
--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -18,6 +18,8 @@
     caller_refused = 200,
     // 3xx: servers.
     server_failed = 300,
+    server_standing_changed = 310,
+    server_limit_cut = 311,
     // 4xx: ownership.
     epoch_adopted = 400,
     epoch_fenced = 401,
@@ -33,10 +35,13 @@
     // 6xx: configuration.
     config_applied = 600,
     config_refused = 601,
+    take_out_unrecorded = 610,
+    take_out_settled = 611,
     // 7xx: peers.
     peer_message_dropped = 700,
     // 8xx: administration.
     admin_change = 800,
+    admin_refused = 801,
 };
 
 /** How much an event matters. */
