--- a/src/entry_config.cpp
+++ b/src/entry_config.cpp
@@ -42,7 +42,7 @@
     impl(const entry_settings& with, peer_link& through, metrics& measured)
         : settings(with), link(through), budget({static_cast<double>(settings.store_rate),
                                                  static_cast<double>(settings.store_burst)},
-                                                measured),
+                                                clock.now(), measured),
           follow_client(settings.store_address, static_cast<int>(settings.store_port),
                         settings.store_timeout),
           admin_client(settings.store_address, static_cast<int>(settings.store_port),
--- a/src/store_budgeted.hpp
+++ b/src/store_budgeted.hpp
@@ -15,7 +15,7 @@
 /** The budget of one vm, shared by all of its users of the store. Thread-safe. */
 class shared_store_budget {
 public:
-    shared_store_budget(store_budget_limits limits, metrics& measured);
+    shared_store_budget(store_budget_limits limits, local_time now, metrics& measured);
 
     /** As store_budget::take. */
     nanoseconds take(store_priority priority, local_time now);
