Fix: Of several unrecorded changes only the one in force is recorded

A change id was not judged while the store was down, and a take-out taken without force could not be recorded once another one had left a service without capacity. Conclusion: tests for out-in-out-in during an outage, for reused and malformed ids, and for two take-outs that together leave nothing.

--- a/src/admin_json.cpp
+++ b/src/admin_json.cpp
@@ -72,6 +72,8 @@
     }
     if (names_revision(result.outcome) || result.outcome == change_outcome::unrecorded) {
         body["recorded"] = result.outcome != change_outcome::unrecorded;
+        body["accepted_after_us"] = answer.accepted_after.count();
+        body["in_force_after_us"] = answer.in_force_after.count();
         body["in_force"] = answer.force.in_force;
         body["behind"] = answer.force.behind;
         body["not_reached"] = answer.force.not_reached;
--- a/src/admin_type.hpp
+++ b/src/admin_type.hpp
@@ -36,6 +36,10 @@
     change_result result;
     std::string id;
     force_report force;
+    /** From the request's arrival until the change was accepted, or held unrecorded here. */
+    microseconds accepted_after{0};
+    /** From then until all vms had it in force, or the wait was over. */
+    microseconds in_force_after{0};
 };
 
 /** How a request is to be run. */
--- a/src/config_cmd.cpp
+++ b/src/config_cmd.cpp
@@ -244,7 +244,8 @@
 
 std::string request_digest(const config_change& change)
 {
-    return content_digest(describe_change(change) + "\n" + change.body);
+    return content_digest(std::string{to_name(change.kind)} + " " + change.target + "\n" +
+                          change.body);
 }
 
 } // namespace sniperock
--- a/src/config_cmd.hpp
+++ b/src/config_cmd.hpp
@@ -85,7 +85,7 @@
 void set_availability(availability& out, change_kind kind, const std::string& target);
 /** Command and target as one text. */
 std::string describe_change(const config_change& change);
-/** Tells one request from another, force included. */
+/** Tells one request from another; forcing it makes it no other request. */
 std::string request_digest(const config_change& change);
 
 } // namespace sniperock
--- a/src/config_pending.cpp
+++ b/src/config_pending.cpp
@@ -68,25 +68,33 @@
     return dropped;
 }
 
-availability effective_availability(const availability& recorded, const unrecorded_changes& changes)
+unrecorded_changes winning_changes(const unrecorded_changes& changes)
 {
     std::set<std::string> superseded;
     for (const auto& change : changes) {
         superseded.insert(change.supersedes.begin(), change.supersedes.end());
     }
-    std::map<std::string, const unrecorded_change*> winners;
+    std::map<std::string, unrecorded_change> winners;
     for (const auto& change : changes) {
         if (superseded.contains(change.id)) {
             continue;
         }
-        auto& winner = winners[availability_element(change.kind, change.target)];
-        if (winner == nullptr || is_take_out(change.kind)) {
-            winner = &change;
+        const auto [winner, is_first] =
+            winners.try_emplace(availability_element(change.kind, change.target), change);
+        if (!is_first && is_take_out(change.kind)) {
+            winner->second = change;
         }
     }
+    unrecorded_changes result;
+    std::ranges::copy(winners | std::views::values, std::back_inserter(result));
+    return result;
+}
+
+availability effective_availability(const availability& recorded, const unrecorded_changes& changes)
+{
     availability result = recorded;
-    for (const auto* winner : winners | std::views::values) {
-        set_availability(result, winner->kind, winner->target);
+    for (const auto& winner : winning_changes(changes)) {
+        set_availability(result, winner.kind, winner.target);
     }
     return result;
 }
--- a/src/config_pending.hpp
+++ b/src/config_pending.hpp
@@ -45,9 +45,12 @@
 unrecorded_changes drop_settled(unrecorded_changes& changes, const config_head& head);
 
 /**
- * What is in force: recorded availability with unrecorded changes on top. For each element, of the
- * changes that no other one supersedes a take-out wins, since its maker did not know the others.
+ * The one change of each element that is in force. Of the changes that no other one supersedes a
+ * take-out wins, since its maker did not know the others.
  */
+unrecorded_changes winning_changes(const unrecorded_changes& changes);
+
+/** What is in force: recorded availability with the winning changes on top. */
 availability effective_availability(const availability& recorded,
                                     const unrecorded_changes& changes);
 
--- a/src/entry_config.cpp
+++ b/src/entry_config.cpp
@@ -20,7 +20,7 @@
 constexpr milliseconds tick_period{100};
 constexpr milliseconds role_period{100};
 constexpr milliseconds record_period{100};
-constexpr milliseconds report_period{10};
+constexpr milliseconds report_period{2};
 /** Time after which a change of availability goes on without the store. */
 constexpr milliseconds patience{1'000};
 /** Time that an unrecorded change has to reach the other vms before it is answered. */
@@ -215,7 +215,8 @@
     {
         store_backoff backoff({}, random_seed());
         while (pause(record_period)) {
-            const auto changes = keeper.unrecorded();
+            // The others of an element are settled by being named as replaced.
+            const auto changes = winning_changes(keeper.unrecorded());
             const auto mine =
                 std::ranges::find_if(changes, [&](const auto& change) { return is_due(change); });
             if (mine == changes.end()) {
@@ -241,8 +242,8 @@
     bool record(const unrecorded_change& change)
     {
         change_request request;
+        // It was tested when it was taken, and it is in force: it is recorded whatever it leaves.
         request.change = {change.kind, change.target, "", true};
-        request.change.force = change.force;
         request.id = change.id;
         request.who = change.by;
         request.supersedes =
@@ -313,6 +314,7 @@
     {
         change_answer answer;
         answer.id = request.id;
+        const auto began = boot_clock::now();
         if (options.dry_run) {
             answer.result = administered.test(request, fleet(), keeper.state());
             return answer;
@@ -330,7 +332,11 @@
         else {
             answer.result = accept(request);
         }
+        const auto accepted = boot_clock::now();
         wait_in_force(answer, options.wait);
+        answer.accepted_after = std::chrono::duration_cast<microseconds>(accepted - began);
+        answer.in_force_after =
+            std::chrono::duration_cast<microseconds>(boot_clock::now() - accepted);
         return answer;
     }
 
@@ -346,6 +352,10 @@
     /** A change of availability does not wait for a store that is down or slow. */
     void run_availability(const change_request& request, change_answer& answer)
     {
+        // What the store holds does not show unrecorded take-outs, so these are tested as well.
+        if (!keeper.unrecorded().empty() && !passes_in_force(request, answer.result)) {
+            return;
+        }
         const auto job = start_job(request);
         if (job.wait_for(patience) == std::future_status::ready) {
             answer.result = job.get();
@@ -371,18 +381,53 @@
         return job;
     }
 
-    /** Puts a change in force through the other vms, before the store has it. */
-    void take_unrecorded(const change_request& request, change_result& result)
+    /** Tests a change against what is in force here. @return false if it has findings. */
+    bool passes_in_force(const change_request& request, change_result& result)
     {
         result = {};
         try {
             const auto tested = test_change(*keeper.snapshot(), request.change, fleet());
             result.differences = tested.differences;
             result.warnings = tested.warnings;
+            return true;
         }
         catch (const invalid_input& fault) {
             result.outcome = change_outcome::refused;
             result.findings = fault.findings();
+            return false;
+        }
+    }
+
+    /** Judges the id of a change by what is known here. @return false if @p result says why not. */
+    bool is_usable_id(const change_request& request, change_result& result)
+    {
+        result = {};
+        const auto state = keeper.state();
+        const auto unrecorded = keeper.unrecorded();
+        const auto same = std::ranges::find(unrecorded, request.id, &unrecorded_change::id);
+        const bool is_other = same != unrecorded.end() && (same->kind != request.change.kind ||
+                                                           same->target != request.change.target);
+        const bool usable =
+            judge_change_id(request.id, state->head, clock.wall_now()) == change_id_verdict::usable;
+        if (const auto record = find_change(state->head, request.id)) {
+            const bool equal = record->request == request_digest(request.change);
+            result.outcome = equal ? change_outcome::repeated : change_outcome::bad_change_id;
+            result.record = record;
+            return false;
+        }
+        if (!usable || is_other) {
+            result.outcome = change_outcome::bad_change_id;
+            result.reason = is_other ? "this change id was used for another request"
+                                     : "this change id is malformed, too old or from the future";
+            return false;
+        }
+        return true;
+    }
+
+    /** Puts a change in force through the other vms, before the store has it. */
+    void take_unrecorded(const change_request& request, change_result& result)
+    {
+        if (!is_usable_id(request, result) || !passes_in_force(request, result)) {
             return;
         }
         keeper.add_unrecorded({{request.id, request.change.kind, request.change.target,
--- a/src/tests/config_pending_test.cpp
+++ b/src/tests/config_pending_test.cpp
@@ -73,6 +73,15 @@
     CHECK(drop_settled(changes, make_head(6, record)).size() == 1);
 }
 
+TEST_CASE("only the change in force is recorded, the ones before it are replaced by it")
+{
+    const auto out = make_change(0, change_kind::domain_out, 5);
+    const auto in = make_change(1, change_kind::domain_in, 5, {out.id});
+    const auto again = make_change(2, change_kind::domain_out, 5, {out.id, in.id});
+    CHECK(winning_changes({out, in}) == unrecorded_changes{in});
+    CHECK(winning_changes({out, in, again}) == unrecorded_changes{again});
+}
+
 TEST_CASE("without knowledge of each other the take-out wins, in any order")
 {
     const auto out = make_change(0, change_kind::domain_out, 5);
--- a/src/tests/entry_config_test.cpp
+++ b/src/tests/entry_config_test.cpp
@@ -188,6 +188,61 @@
     CHECK(audit.at("changes").at(0).at("change_id") == answer.at("change_id"));
 }
 
+TEST_CASE("change ids are judged in an outage as well")
+{
+    admin_fleet fleet;
+    fleet.platform.set_faults({true, milliseconds{0}, 0});
+    const auto id = make_change_id(system_clock_source::wall_now(), 7);
+    const auto ask = [&](const std::string& domain, const std::string& with_id) {
+        const auto outcome =
+            send_request({{fleet.vms[0]->server()}, key},
+                         {"POST", "/v1/domains/" + domain + "/out", "", with_id, {}});
+        return outcome.reply.value_or(ctl_reply{}).status;
+    };
+    CHECK(ask("north", "malformed") == 400);
+    CHECK(ask("north", id) == 202);
+    CHECK(ask("north", id) == 202);
+    CHECK(ask("vm-1-domain", id) == 400);
+    CHECK_FALSE(fleet.vms[0]->is_out("vm-1-domain"));
+    CHECK(fleet.vms[0]->configuration->snapshot()->unrecorded == 1);
+}
+
+TEST_CASE("an unrecorded take-out counts when another one is tested")
+{
+    admin_fleet fleet;
+    fleet.platform.set_faults({true, milliseconds{0}, 0});
+    CHECK(fleet.send(0, "POST", "/v1/domains/north/out").status == 202);
+    fleet.platform.set_faults({});
+    CHECK(fleet.send(1, "POST", "/v1/domains/south/out").status == 422);
+    CHECK(fleet.send(1, "POST", "/v1/domains/south/out?force=1").status == 200);
+    REQUIRE(wait_for([&] {
+        return fleet.all(
+            [](const admin_vm& vm) { return vm.configuration->snapshot()->unrecorded == 0; });
+    }));
+    CHECK(fleet.all([](const admin_vm& vm) { return vm.is_out("north") && vm.is_out("south"); }));
+}
+
+TEST_CASE("of several unrecorded changes of one failure domain the last one is recorded")
+{
+    admin_fleet fleet;
+    fleet.platform.set_faults({true, milliseconds{0}, 0});
+    std::string last;
+    for (const auto* way : {"out", "in", "out", "in"}) {
+        const auto answer = fleet.send_json(0, "POST", std::string{"/v1/domains/north/"} + way);
+        CHECK(answer.at("outcome") == "unrecorded");
+        last = answer.at("change_id");
+    }
+    fleet.platform.set_faults({});
+    REQUIRE(wait_for([&] {
+        return fleet.all(
+            [](const admin_vm& vm) { return vm.configuration->snapshot()->unrecorded == 0; });
+    }));
+    CHECK(fleet.all([](const admin_vm& vm) { return !vm.is_out("north"); }));
+    const auto audit = fleet.send_json(1, "GET", "/v1/audit");
+    REQUIRE(audit.at("changes").size() == 1);
+    CHECK(audit.at("changes").at(0).at("change_id") == last);
+}
+
 TEST_CASE("a slow store delays no take-out")
 {
     admin_fleet fleet;
