--- a/src/store_budgeted.cpp
+++ b/src/store_budgeted.cpp
@@ -3,8 +3,9 @@
 
 namespace sniperock {
 
-shared_store_budget::shared_store_budget(store_budget_limits limits, metrics& measured)
-    : budget_(limits, boot_clock::now()), measured_(measured),
+shared_store_budget::shared_store_budget(store_budget_limits limits, local_time now,
+                                         metrics& measured)
+    : budget_(limits, now), measured_(measured),
       refused_(&measured_.counter("sniperock_store_refused_total",
                                   "Store calls not made because the budget was used up"))
 {
