Codechange: A slot's single release has its own test, and the benchmark names its headers

Cause: in_flight() == 0 after each failure did not show that a second release is harmless. Change: a test of held_slot with two grants on one server; bench_edge.cpp includes what it uses.

--- a/src/bench_edge.cpp
+++ b/src/bench_edge.cpp
@@ -5,6 +5,10 @@
 #include "edge_server.hpp"
 #include "hash_func.hpp"
 
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
 #include <sys/resource.h>
 
 #include <filesystem>
--- a/src/tests/edge_relay_test.cpp
+++ b/src/tests/edge_relay_test.cpp
@@ -1,6 +1,7 @@
 /** @file edge_relay_test.cpp Which answers can go on from another server, and attempt budgets. */
 #include "edge_budget.hpp"
 #include "edge_relay.hpp"
+#include "edge_slot.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -91,3 +92,35 @@
     CHECK(*estimate.value() > milliseconds{80});
     CHECK(*estimate.value() < milliseconds{100});
 }
+
+TEST_CASE("a slot is given back exactly once, whether it is finished, moved or dropped")
+{
+    dispatcher slots({{"vm-a", incarnation{1}}, "d"}, {}, {});
+    slots.set_owned({{"s", {{"server", "127.0.0.1", 1, "d", 4, 4}}}});
+    const auto take = [&] {
+        grant_result got = refusal{};
+        const auto now = boot_clock::now();
+        slots.acquire({"s", "gold", call_class::safe, now + seconds{10}, {}}, now,
+                      system_clock_source::wall_now(),
+                      [&](grant_result result) { got = std::move(result); });
+        return held_slot(slots, std::get<grant>(std::move(got)));
+    };
+    const auto in_flight = [&] { return slots.status().front().in_flight; };
+    const auto other = take();
+    {
+        auto first = take();
+        CHECK(in_flight() == 2);
+        auto moved = std::move(first);
+        CHECK(in_flight() == 2);
+        moved.finish({call_result::answered, milliseconds{1}, std::nullopt});
+        CHECK(in_flight() == 1);
+        moved.finish({call_result::answered, milliseconds{1}, std::nullopt});
+        CHECK(in_flight() == 1);
+    }
+    CHECK(in_flight() == 1);
+    {
+        const auto dropped = take();
+        CHECK(in_flight() == 2);
+    }
+    CHECK(in_flight() == 1);
+}
