--- a/src/load_report.cpp
+++ b/src/load_report.cpp
@@ -140,6 +140,8 @@
     return json{{"seed", plan.seed},
                 {"duration_ms", plan.duration.count()},
                 {"most_connections", result.most_connections},
+                {"not_run_asked", result.not_run_asked},
+                {"not_run_ran", result.not_run_ran},
                 {"rows", std::move(rows)},
                 {"total", to_json(total_counts(result))},
                 {"timeline_step_ms", timeline_step.count()},
--- a/src/load_type.hpp
+++ b/src/load_type.hpp
@@ -138,6 +138,9 @@
     std::vector<timeline_slice> timeline;
     /** Ids of calls that were told to be not run; bounded. */
     std::vector<std::string> not_run_ids;
+    /** Of these, how many servers were asked about and how many did run. */
+    std::uint64_t not_run_asked = 0;
+    std::uint64_t not_run_ran = 0;
     /** Most connections open at a time, summed over threads. */
     std::size_t most_connections = 0;
 };
--- a/tools/bench/bench.py
+++ b/tools/bench/bench.py
@@ -20,6 +20,7 @@
     ("sent", "sent", "{}"),
     ("answered weighted %", "weighted", "{:.3f}"),
     ("not run", "not_run", "{}"),
+    ("not run, yet ran", "not_run_ran", "{}"),
     ("unknown", "unknown", "{}"),
     ("wrong", "wrong", "{}"),
     ("50% ms", "p50", "{:.1f}"),
