Feature: Graceful leave, rotating peer keys and a replay window

Cause: SIGTERM cut everything at once; peer messages were authenticated by the name of the key file and could be repeated.

Change: on SIGTERM a vm announces that it leaves, hands its servers over, drains its callers and exits within members.leave_bound. Keys come from a file (first signs, all verify), which is required unless peers.insecure = 1. Envelopes carry a protocol version.

Found: a run with real processes showed that vms which all leave wrote an epoch without members, which every later start refused. A prune now keeps the members, and a vm that would leave nobody does not wait; both are tested.

--- a/src/cli_commands.cpp
+++ b/src/cli_commands.cpp
@@ -24,6 +24,7 @@
     entry_node node(load_settings((*given)["settings"].as<std::string>()));
     node.start();
     wait_for_signal();
+    node.leave();
     node.stop();
     return exit_code::success;
 }
--- a/src/demo_system.cpp
+++ b/src/demo_system.cpp
@@ -30,6 +30,7 @@
     settings.caller_port = 0;
     settings.admin_port = 0;
     settings.peer_port = 0;
+    settings.peers_insecure = 1;
     settings.store_port = store_port;
     settings.locate_keep = milliseconds{1000};
     return settings;
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -6,14 +6,17 @@
 #include "entry_ownership.hpp"
 #include "entry_schedule.hpp"
 #include "event_type.hpp"
+#include "finding_type.hpp"
 #include "locate.hpp"
 #include "member_incarnation.hpp"
 #include "metrics.hpp"
 #include "page_server.hpp"
+#include "peer_keys.hpp"
 #include "peer_link.hpp"
 #include "random_type.hpp"
 #include "store_client.hpp"
 
+#include <algorithm>
 #include <mutex>
 
 namespace sniperock {
@@ -47,6 +50,20 @@
     return new_incarnation(vm, listed, system_clock_source::wall_now(), random_seed());
 }
 
+/** The keys of the key file. Without a file any process of this host's network may join, which
+ * only peers.insecure allows. */
+peer_keys choose_keys(const entry_settings& settings)
+{
+    if (!settings.peer_key_file.empty()) {
+        return load_peer_keys(settings.peer_key_file);
+    }
+    if (settings.peers_insecure == 0) {
+        throw invalid_input({{"settings", 0, "peers.key_file",
+                              "is required, unless peers.insecure = 1 lets anyone join"}});
+    }
+    return peer_keys(std::vector<peer_key>{{"insecure", "insecure"}});
+}
+
 } // namespace
 
 /** The parts and the threads that feed them. */
@@ -56,7 +73,7 @@
           store(settings.store_address, static_cast<int>(settings.store_port),
                 settings.store_timeout),
           life(choose_incarnation(settings.vm_name, store)),
-          link({settings.vm_name, life}, settings.peer_key_file),
+          link({settings.vm_name, life}, choose_keys(settings)),
           slots({{settings.vm_name, life}, settings.failure_domain},
                 {static_cast<std::size_t>(settings.queue_limit), settings.policy, random_seed()},
                 send_through(link), &measured),
@@ -94,6 +111,18 @@
                                          {"admin", self.admin_endpoint}});
     }
 
+    void leave()
+    {
+        log_event(event::leave_started, {{"vm", settings.vm_name}});
+        const auto end = boot_clock::now() + settings.member_leave_bound;
+        const bool handed_over = ownership.leave(settings.member_leave_bound);
+        const auto left = std::chrono::duration_cast<milliseconds>(end - boot_clock::now());
+        const auto cut = edge.drain(std::max(left, milliseconds{0}));
+        log_event(event::leave_ended, {{"vm", settings.vm_name},
+                                       {"handed_over", handed_over ? "yes" : "no"},
+                                       {"calls_cut", std::to_string(cut)}});
+    }
+
     void stop()
     {
         {
@@ -185,6 +214,11 @@
     impl_->start();
 }
 
+void entry_node::leave()
+{
+    impl_->leave();
+}
+
 void entry_node::stop()
 {
     impl_->stop();
--- a/src/entry_node.hpp
+++ b/src/entry_node.hpp
@@ -27,6 +27,11 @@
 
     /** Opens the listening sockets and starts all threads. @throws std::exception */
     void start();
+    /**
+     * Leaves gracefully: unlisted, servers handed over, running calls ended; members.leave_bound
+     * bounds the wait. Call stop() afterwards.
+     */
+    void leave();
     /** Stops all threads. */
     void stop();
     [[nodiscard]] entry_ports ports() const;
--- a/src/entry_ownership.cpp
+++ b/src/entry_ownership.cpp
@@ -257,7 +257,7 @@
         const std::lock_guard lock(mutex);
         page = std::move(shown);
         member = machine.is_member();
-        left_epoch = driver->has_left();
+        left_epoch = driver->has_left(now);
         wake.notify_all();
     }
 
--- a/src/epoch_machine.cpp
+++ b/src/epoch_machine.cpp
@@ -391,6 +391,11 @@
     return out;
 }
 
+bool epoch_machine::leaves_nobody(local_time now) const
+{
+    return leaving_ && members_.wanted(adopted_->current, true, now).members.empty();
+}
+
 std::vector<epoch_membership> epoch_machine::prune(const std::vector<epoch_member>& next) const
 {
     std::vector<epoch_membership> unfenced;
@@ -436,9 +441,10 @@
         read_store(now, out);
         return;
     }
+    const auto& next = changed ? wanted.members : epoch.members;
     write_epoch write;
-    write.object.current = {{epoch.number.value + 1}, wanted.members, settings_.spread};
-    write.object.unfenced = prune(wanted.members);
+    write.object.current = {{epoch.number.value + 1}, next, settings_.spread};
+    write.object.unfenced = prune(next);
     write.object.change_id = random_();
     write.expected = stored_->version;
     written_ = write.object;
--- a/src/epoch_machine.hpp
+++ b/src/epoch_machine.hpp
@@ -78,6 +78,8 @@
     [[nodiscard]] const epoch_counts& counts() const { return counts_; }
     [[nodiscard]] const epoch_member& self() const { return self_; }
     [[nodiscard]] bool is_leaving() const { return leaving_; }
+    /** True if this vm leaves and no other would stay. */
+    [[nodiscard]] bool leaves_nobody(local_time now) const;
 
 private:
     /** Progress towards the fence of one earlier epoch. */
--- a/src/ownership_driver.hpp
+++ b/src/ownership_driver.hpp
@@ -133,10 +133,13 @@
         tick(now, wall);
     }
 
-    /** True if this vm holds no server, and every hand-over was acknowledged. */
-    [[nodiscard]] bool has_left() const
+    /** True if this vm has left the epoch and every hand-over was acknowledged, or if there is
+     * nobody to hand over to. */
+    [[nodiscard]] bool has_left(local_time now) const
     {
-        return machine_.is_leaving() && table_.held_count() == 0 && handovers_.empty();
+        const bool holds_none = table_.held_count() == 0 && handovers_.empty();
+        return machine_.leaves_nobody(now) ||
+               (machine_.is_leaving() && !machine_.is_member() && holds_none);
     }
 
     [[nodiscard]] const epoch_machine& machine() const { return machine_; }
--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -1,14 +1,17 @@
 /** @file peer_link.cpp Authenticated one-way messages between entry vms, over nng. */
 #include "peer_link.hpp"
+#include "clock_type.hpp"
 #include "error_type.hpp"
 #include "event_type.hpp"
 #include "hash_func.hpp"
 #include "peer_codec.hpp"
+#include "peer_replay.hpp"
 
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -22,6 +25,11 @@
 constexpr int receive_queue_messages = 1024;
 constexpr std::size_t max_message_bytes = 4'194'304;
 
+/** Processes of neighbouring versions work side by side. */
+constexpr std::uint32_t peer_protocol_version = 1;
+/** At most one event about dropped messages in this time. */
+constexpr seconds drop_event_period{1};
+
 /** What is authenticated: everything but the tag. */
 struct peer_envelope {
     std::uint8_t kind = 0;
@@ -29,14 +37,17 @@
     std::uint64_t life = 0;
     std::uint64_t sequence = 0;
     std::string payload;
-    MSGPACK_DEFINE(kind, vm, life, sequence, payload)
+    /** Protocol version of the sender; fields may be added at the end, never changed. */
+    std::uint32_t version = peer_protocol_version;
+    MSGPACK_DEFINE(kind, vm, life, sequence, payload, version)
 };
 
 /** What goes over the wire. */
 struct peer_frame {
     std::string tag;
     std::string envelope;
-    MSGPACK_DEFINE(tag, envelope)
+    std::string key_id;
+    MSGPACK_DEFINE(tag, envelope, key_id)
 };
 
 /** A socket that closes itself. */
@@ -75,7 +86,33 @@
 
 /** Sockets, the receiving thread and the keys. */
 struct peer_link::impl {
-    impl(peer_identity as, std::string with) : self(std::move(as)), key(std::move(with)) {}
+    impl(peer_identity as, peer_keys with)
+        : self(std::move(as)), keys(std::make_shared<const peer_keys>(std::move(with)))
+    {
+    }
+
+    std::shared_ptr<const peer_keys> present_keys()
+    {
+        const std::shared_lock lock(keys_mutex);
+        return keys;
+    }
+
+    /** Counts a dropped message, and logs the first of each period. */
+    void drop(peer_drop reason, const std::string& vm)
+    {
+        dropped.fetch_add(1);
+        dropped_by_reason.at(static_cast<std::size_t>(reason)).fetch_add(1);
+        ++drops_unlogged;
+        const auto now = boot_clock::now();
+        if (now < next_drop_event) {
+            return;
+        }
+        next_drop_event = now + drop_event_period;
+        log_event(event::peer_message_dropped,
+                  {{"reason", std::string{to_name(reason)}},
+                   {"from", vm},
+                   {"count", std::to_string(std::exchange(drops_unlogged, 0))}});
+    }
 
     void receive_loop()
     {
@@ -97,24 +134,55 @@
     void handle(std::string_view bytes)
     {
         const auto frame = decode_payload<peer_frame>(bytes);
-        const auto envelope =
-            frame && equal_in_constant_time(frame->tag, hmac_sha256(key, frame->envelope))
-                ? decode_payload<peer_envelope>(frame->envelope)
-                : std::nullopt;
+        if (!frame) {
+            drop(peer_drop::malformed, "");
+            return;
+        }
+        const auto known = present_keys();
+        const auto* key = known->find(frame->key_id);
+        if (key == nullptr) {
+            drop(peer_drop::unknown_key, "");
+            return;
+        }
+        if (!equal_in_constant_time(frame->tag, hmac_sha256(key->secret, frame->envelope))) {
+            drop(peer_drop::wrong_tag, "");
+            return;
+        }
+        const auto envelope = decode_payload<peer_envelope>(frame->envelope);
         if (!envelope) {
-            dropped.fetch_add(1);
+            drop(peer_drop::malformed, "");
             return;
         }
-        received.fetch_add(1);
-        const auto kind = static_cast<peer_message_kind>(envelope->kind);
+        take(*envelope);
+    }
+
+    /** Hands an authentic message to its handler, once. */
+    void take(const peer_envelope& envelope)
+    {
+        const peer_identity from{envelope.vm, incarnation{envelope.life}};
+        const auto verdict = window.accept(from, envelope.sequence);
+        if (verdict != replay_verdict::fresh) {
+            drop(verdict == replay_verdict::repeated ? peer_drop::repeated : peer_drop::outdated,
+                 envelope.vm);
+            return;
+        }
+        const auto kind = static_cast<peer_message_kind>(envelope.kind);
         const auto handler = handlers.find(kind);
-        if (handler != handlers.end()) {
-            handler->second({kind, {envelope->vm, incarnation{envelope->life}}, envelope->payload});
+        if (handler == handlers.end()) {
+            drop(peer_drop::unknown_kind, envelope.vm);
+            return;
         }
+        received.fetch_add(1);
+        handler->second({kind, from, envelope.payload});
     }
 
     peer_identity self;
-    std::string key;
+    std::shared_mutex keys_mutex;
+    std::shared_ptr<const peer_keys> keys;
+    // Used on the receiving thread only.
+    replay_window window;
+    local_time next_drop_event;
+    std::uint64_t drops_unlogged = 0;
     std::map<peer_message_kind, peer_handler> handlers;
     nng_handle incoming;
     int port = 0;
@@ -125,10 +193,11 @@
     std::atomic<std::uint64_t> sent{0};
     std::atomic<std::uint64_t> received{0};
     std::atomic<std::uint64_t> dropped{0};
+    std::array<std::atomic<std::uint64_t>, enum_names<peer_drop>.size()> dropped_by_reason{};
 };
 
-peer_link::peer_link(peer_identity self, std::string key)
-    : impl_(std::make_unique<impl>(std::move(self), std::move(key)))
+peer_link::peer_link(peer_identity self, peer_keys keys)
+    : impl_(std::make_unique<impl>(std::move(self), std::move(keys)))
 {
 }
 
@@ -173,6 +242,13 @@
     impl_->peers.clear();
 }
 
+void peer_link::set_keys(peer_keys keys)
+{
+    auto next = std::make_shared<const peer_keys>(std::move(keys));
+    const std::unique_lock lock(impl_->keys_mutex);
+    impl_->keys = std::move(next);
+}
+
 void peer_link::set_peers(const std::vector<peer_address>& peers)
 {
     const std::unique_lock lock(impl_->peers_mutex);
@@ -203,7 +279,9 @@
     frame.envelope = encode_payload(peer_envelope{static_cast<std::uint8_t>(kind), impl_->self.vm,
                                                   impl_->self.life.value,
                                                   impl_->next_sequence.fetch_add(1), payload});
-    frame.tag = hmac_sha256(impl_->key, frame.envelope);
+    const auto keys = impl_->present_keys();
+    frame.key_id = keys->signing().id;
+    frame.tag = hmac_sha256(keys->signing().secret, frame.envelope);
     auto bytes = encode_payload(frame);
     const std::shared_lock lock(impl_->peers_mutex);
     const auto peer = impl_->peers.find(vm);
@@ -224,7 +302,10 @@
 
 peer_link_counts peer_link::counts() const
 {
-    return {impl_->sent.load(), impl_->received.load(), impl_->dropped.load()};
+    peer_link_counts result{impl_->sent.load(), impl_->received.load(), impl_->dropped.load(), {}};
+    std::ranges::transform(impl_->dropped_by_reason, result.dropped_by_reason.begin(),
+                           [](const auto& count) { return count.load(); });
+    return result;
 }
 
 } // namespace sniperock
--- a/src/peer_link.hpp
+++ b/src/peer_link.hpp
@@ -1,20 +1,38 @@
 /** @file peer_link.hpp Authenticated one-way messages between entry vms, over nng. */
 #pragma once
 
+#include "enum_table.hpp"
+#include "peer_keys.hpp"
 #include "peer_type.hpp"
 
+#include <array>
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace sniperock {
 
+/** Why a message was dropped. */
+enum class peer_drop { malformed, unknown_key, wrong_tag, repeated, outdated, unknown_kind };
+
+template <>
+inline constexpr std::array enum_names<peer_drop>{
+    enum_name<peer_drop>{peer_drop::malformed, "malformed"},
+    enum_name<peer_drop>{peer_drop::unknown_key, "unknown_key"},
+    enum_name<peer_drop>{peer_drop::wrong_tag, "wrong_tag"},
+    enum_name<peer_drop>{peer_drop::repeated, "repeated"},
+    enum_name<peer_drop>{peer_drop::outdated, "outdated"},
+    enum_name<peer_drop>{peer_drop::unknown_kind, "unknown_kind"},
+};
+
 /** Counts of one link, for the pages. */
 struct peer_link_counts {
     std::uint64_t sent = 0;
     std::uint64_t received = 0;
     /** Not authentic, malformed or repeated. */
     std::uint64_t dropped = 0;
+    /** The dropped ones, by peer_drop. */
+    std::array<std::uint64_t, enum_names<peer_drop>.size()> dropped_by_reason{};
 };
 
 /**
@@ -25,9 +43,9 @@
 public:
     /**
      * @param self who sends.
-     * @param key shared secret that authenticates messages.
+     * @param keys shared secrets that authenticate messages.
      */
-    peer_link(peer_identity self, std::string key);
+    peer_link(peer_identity self, peer_keys keys);
     ~peer_link();
     peer_link(const peer_link&) = delete;
     peer_link& operator=(const peer_link&) = delete;
@@ -38,6 +56,8 @@
      * listen_failed */
     void start(const std::string& address, int port);
     void stop();
+    /** Replaces the keys; messages under the former ones are refused if the new ones lack them. */
+    void set_keys(peer_keys keys);
     /** Replaces the peers that send() can reach. */
     void set_peers(const std::vector<peer_address>& peers);
     /** Sends without waiting. @return false if the peer is unknown or its queue is full. */
--- a/src/settings_type.hpp
+++ b/src/settings_type.hpp
@@ -25,6 +25,7 @@
     std::string peer_address;
     std::int64_t peer_port{};
     std::string peer_key_file;
+    std::int64_t peers_insecure{};
     std::string store_address;
     std::int64_t store_port{};
     milliseconds store_timeout{};
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -38,6 +38,9 @@
     setting_descriptor{"peers", "key_file", &entry_settings::peer_key_file, "path", "", 0, 4096,
                        setting_flag::optional,
                        "File with the keys that authenticate peer messages"},
+    setting_descriptor{"peers", "insecure", &entry_settings::peers_insecure, "", "0", 0, 1,
+                       setting_flag::optional,
+                       "1 runs without a key file; anyone who reaches the port may join"},
     // Store.
     setting_descriptor{"store", "address", &entry_settings::store_address, "IP", "127.0.0.1", 1, 64,
                        setting_flag::optional, "Address of the platform's object store"},
--- a/src/tests/epoch_machine_test.cpp
+++ b/src/tests/epoch_machine_test.cpp
@@ -259,6 +259,28 @@
     CHECK(latest->current.members.size() == joining + 1);
 }
 
+TEST_CASE("when every member leaves, no epoch without members is written")
+{
+    auto a = machine_of("a");
+    const auto earlier = a.epoch().current;
+    a.on_store_watch(epoch_of(2, {member("a"), member("b")}, {earlier}), 2, start);
+    heartbeat leaving;
+    leaving.epoch.value = 2;
+    leaving.leaving = true;
+    a.on_heartbeat({"b", incarnation{1}}, leaving, start);
+    a.leave();
+    for (auto now = start; now < start + seconds{30}; now += milliseconds{25}) {
+        for (const auto& write : all_of_kind<write_epoch>(a.tick(now))) {
+            CHECK(write.object.current.members.size() == 2);
+            a.on_store_write({put_status::accepted, 3}, now);
+        }
+        if (a.counts().store_reads > 0) {
+            a.on_store_read({false, {}, 0}, now);
+        }
+    }
+    CHECK(a.leaves_nobody(start + seconds{30}));
+}
+
 TEST_CASE("the epoch object keeps its content through its stored form")
 {
     const auto object = epoch_of(7, {member("a"), member("b", 5)}, {{{6}, {member("c")}, 2}});
--- a/src/tests/peer_link_test.cpp
+++ b/src/tests/peer_link_test.cpp
@@ -10,7 +10,8 @@
 
 TEST_CASE("a message arrives whole, one under another key is dropped")
 {
-    peer_link receiver({"b", incarnation{2}}, "key");
+    peer_link receiver({"b", incarnation{2}},
+                       peer_keys(std::vector<peer_key>{{"k", "key"}, {"old", "former key"}}));
     std::mutex mutex;
     std::condition_variable arrived;
     std::vector<peer_message> messages;
@@ -29,9 +30,12 @@
             arrived.wait_for(lock, std::chrono::milliseconds{5});
         }
     };
-    peer_link stranger({"x", incarnation{9}}, "other key");
+    peer_link stranger({"x", incarnation{9}}, peer_keys(std::vector<peer_key>{{"k", "other key"}}));
     send_until(stranger, [&] { return receiver.counts().dropped > 0; });
-    peer_link sender({"a", incarnation{1}}, "key");
+    CHECK(receiver.counts().dropped_by_reason.at(static_cast<std::size_t>(peer_drop::wrong_tag)) >
+          0);
+    peer_link sender({"a", incarnation{1}},
+                     peer_keys(std::vector<peer_key>{{"old", "former key"}}));
     send_until(sender, [&] { return receiver.counts().received > 0; });
     const std::lock_guard lock(mutex);
     REQUIRE_FALSE(messages.empty());
