Fix: Calls that arrive while their caller does not read are kept, not lost

Cause: input that came while earlier answers were still unsent replaced what was kept before. Conclusion: a test sends 50,001 pipelined calls before it reads and counts the answers.

--- a/src/edge_session.cpp
+++ b/src/edge_session.cpp
@@ -138,6 +138,9 @@
     if (call_) {
         feed_body(data);
     }
+    else if (!pending_.empty() || !stream_.flushed()) {
+        pending_.append(data);
+    }
     else if (!lingering_) {
         process(data);
     }
--- a/src/tests/edge_path_test.cpp
+++ b/src/tests/edge_path_test.cpp
@@ -93,6 +93,29 @@
     }
 }
 
+TEST_CASE("no call is lost while its caller does not read")
+{
+    constexpr std::size_t calls = 50'000;
+    edge_rig rig({});
+    const auto caller = rig.connect();
+    std::thread writer([&] {
+        const std::string one = "GET /x HTTP/1.1\r\nHost: s\r\n\r\n";
+        for (std::size_t call = 0; call < calls; ++call) {
+            caller->send(one);
+        }
+        caller->send("GET /x HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n");
+    });
+    REQUIRE(eventually([&] { return rig.counters().not_run > 0; }));
+    const auto answers = caller->read_all();
+    writer.join();
+    std::size_t found = 0;
+    for (auto at = answers.find("HTTP/1.1 401"); at != std::string::npos;
+         at = answers.find("HTTP/1.1 401", at + 1)) {
+        ++found;
+    }
+    CHECK(found == calls + 1);
+}
+
 TEST_CASE("a HEAD answer keeps its length and has no body")
 {
     scripted_server server([](test_connection& peer) {
