--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -3,27 +3,22 @@
 #include "dispatch.hpp"
 #include "edge_server.hpp"
 #include "entry_config.hpp"
+#include "entry_ownership.hpp"
 #include "entry_schedule.hpp"
 #include "event_type.hpp"
 #include "locate.hpp"
+#include "member_incarnation.hpp"
 #include "metrics.hpp"
-#include "ownership_rendezvous.hpp"
 #include "page_server.hpp"
 #include "peer_link.hpp"
 #include "random_type.hpp"
 #include "store_client.hpp"
 
-#include <algorithm>
-#include <atomic>
-#include <condition_variable>
-#include <iterator>
-#include <thread>
+#include <mutex>
 
 namespace sniperock {
 namespace {
 
-constexpr milliseconds membership_period{250};
-
 edge_limits make_edge_limits(const entry_settings& settings)
 {
     edge_limits limits;
@@ -38,18 +33,18 @@
     return limits;
 }
 
-std::vector<owner_candidate> usable_candidates(const std::vector<vm_record>& vms,
-                                               const availability& out)
+/** The incarnation of a process that starts now, above any that the platform's list shows. */
+incarnation choose_incarnation(const std::string& vm, store_client& store)
 {
-    std::vector<owner_candidate> candidates;
-    for (const auto& vm : vms) {
-        const bool usable = vm.state == vm_state::live && !out.vms_out.contains(vm.name) &&
-                            !out.domains_out.contains(vm.failure_domain);
-        if (usable) {
-            candidates.push_back({vm.name, vm.failure_domain});
-        }
+    std::vector<vm_record> listed;
+    try {
+        listed = store.list_vms();
+    }
+    catch (const store_unavailable&) {
+        // The wall clock alone decides.
+        listed.clear();
     }
-    return candidates;
+    return new_incarnation(vm, listed, system_clock_source::wall_now(), random_seed());
 }
 
 } // namespace
@@ -60,6 +55,7 @@
         : settings(std::move(with)),
           store(settings.store_address, static_cast<int>(settings.store_port),
                 settings.store_timeout),
+          life(choose_incarnation(settings.vm_name, store)),
           link({settings.vm_name, life}, settings.peer_key_file),
           slots({{settings.vm_name, life}, settings.failure_domain},
                 {static_cast<std::size_t>(settings.queue_limit), settings.policy, random_seed()},
@@ -67,7 +63,10 @@
           schedule(slots, link, measured), locator(settings.locate_keep, random_seed()),
           edge(make_edge_limits(settings), slots, routers, locator, counters, measured),
           pages(settings.admin_address, static_cast<int>(settings.admin_port)),
-          configuration(settings, link, measured)
+          configuration(settings, link, measured),
+          ownership(settings, life, slots, link, measured,
+                    {[this](const auto& records) { configuration.set_vms(records); },
+                     [this](auto entries) { locator.set_entries(std::move(entries)); }})
     {
         routers.set(std::make_shared<const edge_router>(std::make_shared<config_snapshot>()));
         configuration.subscribe([this](const auto& snapshot) { apply_config(snapshot); });
@@ -88,8 +87,8 @@
                 settings.admin_address + ":" + std::to_string(pages.port()),
                 life.value,
                 vm_state::live};
+        ownership.start(self);
         configuration.start();
-        threads.emplace_back([this] { follow_members(); });
         log_event(event::entry_started, {{"vm", settings.vm_name},
                                          {"callers", self.caller_endpoint},
                                          {"admin", self.admin_endpoint}});
@@ -104,10 +103,8 @@
             }
             stopping = true;
         }
-        wake.notify_all();
+        ownership.stop();
         configuration.stop();
-        std::ranges::for_each(threads, [](std::thread& thread) { thread.join(); });
-        threads.clear();
         edge.stop();
         pages.stop();
         link.stop();
@@ -115,94 +112,13 @@
         log_event(event::entry_stopped, {{"vm", settings.vm_name}});
     }
 
-    /** Sleeps for @p time. @return false if the node is stopping. */
-    bool pause(milliseconds time)
-    {
-        std::unique_lock lock(mutex);
-        return !wake.wait_for(lock, time, [this] { return stopping; });
-    }
-
     void apply_config(const std::shared_ptr<const config_snapshot>& snapshot)
     {
         const std::lock_guard lock(mutex);
         config = snapshot;
         routers.set(std::make_shared<const edge_router>(config));
         slots.apply(config);
-        assign_owners();
-    }
-
-    void follow_members()
-    {
-        bool reachable = true;
-        while (pause(milliseconds{0})) {
-            try {
-                store.announce_vm(self);
-                auto records = store.list_vms();
-                configuration.set_vms(records);
-                const std::lock_guard lock(mutex);
-                vms = std::move(records);
-                connect_peers();
-                assign_owners();
-                reachable = true;
-            }
-            catch (const store_unavailable& fault) {
-                if (std::exchange(reachable, false)) {
-                    log_event(event::store_lost, {{"reason", fault.what()}});
-                }
-            }
-            pause(membership_period);
-        }
-    }
-
-    /** Connects to every other vm of the list; the caller holds the mutex. */
-    void connect_peers()
-    {
-        std::vector<peer_address> peers;
-        for (const auto& vm : vms) {
-            if (vm.name != settings.vm_name) {
-                peers.push_back({vm.name, vm.peer_endpoint});
-            }
-        }
-        link.set_peers(peers);
-    }
-
-    /** Recomputes owners and locate answers; the caller holds the mutex. */
-    void assign_owners()
-    {
-        const auto candidates = usable_candidates(vms, config->out);
-        std::map<std::string, std::vector<server_entry>> owned;
-        std::map<std::string, std::set<std::string>> services_by_vm;
-        ownership_view view;
-        for (const auto& service : config->services) {
-            auto& mine = owned[service.name];
-            for (const auto& server : service.servers) {
-                if (config->out.domains_out.contains(server.failure_domain)) {
-                    continue;
-                }
-                const auto owner =
-                    choose_owner({service.name, server.name}, server.failure_domain, candidates,
-                                 static_cast<std::size_t>(settings.owners_per_domain));
-                services_by_vm[owner].insert(service.name);
-                view.owners[{service.name, server.name}] = owner;
-                if (owner == settings.vm_name) {
-                    mine.push_back(server);
-                }
-            }
-        }
-        slots.set_owned(owned);
-        slots.set_view(std::make_shared<const ownership_view>(std::move(view)));
-        std::vector<locate_entry> entries;
-        for (const auto& vm : vms) {
-            const auto& services = services_by_vm[vm.name];
-            const bool out = config->out.vms_out.contains(vm.name) ||
-                             config->out.domains_out.contains(vm.failure_domain);
-            entries.push_back({vm.name,
-                               vm.failure_domain,
-                               vm.caller_endpoint,
-                               out || vm.state == vm_state::leaving,
-                               {services.begin(), services.end()}});
-        }
-        locator.set_entries(std::move(entries));
+        ownership.set_config(config);
     }
 
     nlohmann::json status_json()
@@ -225,19 +141,20 @@
                 {"answered", counters.answered.load()},
                 {"not_run", counters.not_run.load()},
                 {"unknown", counters.unknown.load()},
+                {"ownership", ownership.status()},
                 {"services", std::move(services)}};
     }
 
     bool healthy()
     {
         const std::lock_guard lock(mutex);
-        return config->revision.value > 0;
+        return config->revision.value > 0 && ownership.is_member();
     }
 
     entry_settings settings;
     metrics measured;
-    incarnation life{random_seed()};
     store_client store;
+    incarnation life;
     peer_link link;
     dispatcher slots;
     entry_schedule schedule;
@@ -249,11 +166,9 @@
     entry_config configuration;
     vm_record self;
     std::mutex mutex;
-    std::condition_variable wake;
     bool stopping = false;
     std::shared_ptr<const config_snapshot> config = std::make_shared<const config_snapshot>();
-    std::vector<vm_record> vms;
-    std::vector<std::thread> threads;
+    entry_ownership ownership;
 };
 
 entry_node::entry_node(entry_settings settings) : impl_(std::make_unique<impl>(std::move(settings)))
--- a/src/standin_config.cpp
+++ b/src/standin_config.cpp
@@ -2,7 +2,6 @@
 #include "standin_config.hpp"
 #include "config_func.hpp"
 #include "config_repository.hpp"
-#include "finding_type.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -13,16 +12,16 @@
     config_bootstrap(store, config);
 }
 
-config_snapshot parse_whole_config(const std::string& text, const std::string& source)
+config_snapshot parse_whole_config(const std::string& json, const std::string& source)
 {
-    const auto document = nlohmann::json::parse(text, nullptr, false);
     try {
-        config_snapshot config;
-        config.plans = parse_plans(document.at("plans").dump(), source);
-        config.allowances = parse_allowances(document.at("allowances").dump(), source);
-        config.services = parse_services(document.at("services").dump(), source);
-        config.out = parse_availability(document.at("availability").dump(), source);
-        return config;
+        const auto document = nlohmann::json::parse(json);
+        config_snapshot snapshot;
+        snapshot.plans = parse_plans(document.at("plans").dump(), source);
+        snapshot.allowances = parse_allowances(document.at("allowances").dump(), source);
+        snapshot.services = parse_services(document.at("services").dump(), source);
+        snapshot.out = parse_availability(document.at("availability").dump(), source);
+        return snapshot;
     }
     catch (const nlohmann::json::exception& fault) {
         throw invalid_input({{source, 0, "/", fault.what()}});
--- a/src/standin_config.hpp
+++ b/src/standin_config.hpp
@@ -12,7 +12,11 @@
 /** Replaces whatever configuration is stored. @throws store_unavailable */
 void seed_config(store_client& store, const config_snapshot& config);
 
-/** Parses plans, allowances, services and availability from one document. @throws invalid_input */
-config_snapshot parse_whole_config(const std::string& text, const std::string& source);
+/**
+ * Reads one JSON object with the members plans, allowances, services and availability, each as the
+ * administration API takes it.
+ * @throws invalid_input with every finding of the first list that has any.
+ */
+config_snapshot parse_whole_config(const std::string& json, const std::string& source);
 
 } // namespace sniperock
