Change: A replaced part is removed from the store once

Cause: each vm removed replaced parts that others had removed already, since only the vm that removed one took it off the head's list, and with its own next change. Change: a change removes up to four old parts first and writes the head without them. Conclusion: a part is removed once unless a race is lost in between.

--- a/src/config_repository.hpp
+++ b/src/config_repository.hpp
@@ -10,7 +10,6 @@
 #include <algorithm>
 #include <functional>
 #include <mutex>
-#include <set>
 #include <utility>
 
 namespace sniperock {
@@ -200,7 +199,7 @@
             return true;
         }
         auto head = next_head(present.state->head, *tested, new_object_name(present));
-        forget_removed(head);
+        remove_retired(head);
         auto record = make_record(request, *tested, present.state->head, head, clock_.wall_now());
         remember_change(head, record);
         const auto text = format_bounded_head(head);
@@ -210,7 +209,6 @@
             result.state = make_state(std::move(head), *present.state, texts);
             result.record = std::move(record);
             result = finish(result, change_outcome::accepted);
-            remove_retired(result.state->head);
             return true;
         }
         if (written == write_outcome::unsure) {
@@ -302,33 +300,15 @@
         }
     }
 
-    /** Removes parts that were replaced long ago. */
-    void remove_retired(const config_head& head)
+    /** Removes some parts that were replaced long ago, and takes them off the head's list. */
+    void remove_retired(config_head& head)
     {
-        for (const auto& item : head.retired) {
+        constexpr int most_at_once = 4;
+        int removed = 0;
+        std::erase_if(head.retired, [&](const retired_part& item) {
             const bool old = item.revision.value + part_retention_revisions <= head.revision.value;
-            if (old && !was_removed(item.key) && remove_quietly(item.key)) {
-                const std::lock_guard lock(mutex_);
-                removed_.insert(item.key);
-            }
-        }
-    }
-
-    bool was_removed(const std::string& key)
-    {
-        const std::lock_guard lock(mutex_);
-        return removed_.contains(key);
-    }
-
-    /** Drops parts from the head's list that this object has removed. */
-    void forget_removed(config_head& head)
-    {
-        const std::lock_guard lock(mutex_);
-        std::erase_if(removed_, [&](const std::string& key) {
-            return std::ranges::find(head.retired, key, &retired_part::key) == head.retired.end();
+            return old && removed++ < most_at_once && remove_quietly(item.key);
         });
-        std::erase_if(head.retired,
-                      [&](const retired_part& item) { return removed_.contains(item.key); });
     }
 
     bool remove_quietly(const std::string& key)
@@ -354,7 +334,6 @@
     const Clock& clock_;
     std::mutex mutex_;
     random_engine random_;
-    std::set<std::string> removed_;
     std::function<void(milliseconds)> pause_;
     repository_limits limits_;
 };
