Change: Fewer fault schedules under sanitizers, and the bench names its insecure peers

Change: 200 schedules under sanitizers, 2,000 otherwise. The bench's settings say peers.insecure = 1.

--- a/src/tests/epoch_property_test.cpp
+++ b/src/tests/epoch_property_test.cpp
@@ -15,7 +15,13 @@
 
 namespace {
 
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+/** A sanitized run is several times slower and checks memory; the release run checks the promises.
+ */
+constexpr std::uint64_t default_schedules = 200;
+#else
 constexpr std::uint64_t default_schedules = 2000;
+#endif
 constexpr milliseconds schedule_length{15'000};
 /** All faults over, every server must be granted again within this. */
 constexpr milliseconds recovery_bound{15'000};
--- a/tools/bench/fleet.py
+++ b/tools/bench/fleet.py
@@ -76,7 +76,7 @@
                 f"failure_domain = {self.domains[number % len(self.domains)]}\n"
                 f"[callers]\nport = {CALLER_PORT + number}\nthreads = 1\nlocate_keep = 1000\n"
                 f"[admin]\nport = {ADMIN_PORT + number}\n"
-                f"[peers]\nport = {PEER_PORT + number}\n"
+                f"[peers]\nport = {PEER_PORT + number}\ninsecure = 1\n"
                 f"[store]\nport = {PLATFORM_PORT}\n"
                 f"[schedule]\npolicy = {self.policy}\n")
         self.processes.start(f"entry-{number}", [self.binary, "entry", "--settings", path])
