Fix: Nothing is granted before the first lease

Cause: the dispatcher's lease is unlimited until it is first set, and the driver set it only once a lease was confirmed; a vm that joined could grant on a server that was handed to it before anybody had vouched for it.

Change: the driver takes the lease away when it is made; the simulation's sink starts without a limit, as the dispatcher does.

--- a/src/ownership_driver.hpp
+++ b/src/ownership_driver.hpp
@@ -67,6 +67,8 @@
         : times_(times), machine_(times, std::move(self), seed, now), table_(takeover), sink_(sink),
           link_(link), store_(store), observer_(observer)
     {
+        // A dispatcher that was told of no lease grants without one.
+        sink_.set_lease(local_time{});
     }
 
     /** Call at least once in a quarter of a heartbeat period. */
--- a/src/tests/epoch_simulation.hpp
+++ b/src/tests/epoch_simulation.hpp
@@ -75,7 +75,8 @@
     world& all;
     std::size_t vm;
     epoch_member self;
-    local_time lease;
+    /** As of a dispatcher that was told of no lease yet. */
+    local_time lease = local_time::max();
     std::set<server_key> held;
     std::size_t handed_over = 0;
     epoch_number newest;
