Change: Hints tell what matters; waits by plan; calls leave closed servers at once

Cause: an owner under load told of each change of its queue every 20 ms, a refused call was asked at up to four busy owners, and calls queued at servers closed for longer than their deadline. Change: hints tell of waiting calls only when they change by a quarter; a call refused for load is not asked at other busy owners; servers closed for more than a second attract no calls; waiting calls are shown by plan and waits observed through kept references.

--- a/src/dispatch_asks.cpp
+++ b/src/dispatch_asks.cpp
@@ -24,6 +24,8 @@
 constexpr seconds hint_interest{5};
 /** After this a hint says nothing any more. */
 constexpr seconds hint_life{1};
+/** Others are told of a change of the waiting calls by more than one part in this many. */
+constexpr std::uint32_t waiting_change_told = 4;
 constexpr milliseconds retry_when_withdrawn{100};
 constexpr std::uint8_t most_release_hops = 3;
 constexpr seconds dead_holder_grace{1};
@@ -41,6 +43,15 @@
     return report;
 }
 
+/** True if @p now would lead another vm to other choices than @p before. */
+bool differs(const permit_hint& now, const permit_hint& before)
+{
+    const auto more = std::max(now.waiting, before.waiting);
+    const auto less = std::min(now.waiting, before.waiting);
+    return now.free_slots != before.free_slots || now.limit != before.limit ||
+           (more - less) * waiting_change_told > more;
+}
+
 /** Waiting calls for each slot that an owner has. */
 double crowding(std::size_t waiting, std::uint32_t limit)
 {
@@ -89,6 +100,9 @@
         }
         const bool unknown = owner.heard == local_time{} || at.now - owner.heard > hint_life;
         const bool full = !unknown && owner.hint.free_slots == 0;
+        if (full && call.refused_for_load) {
+            continue;
+        }
         const double crowd = full ? crowding(owner.hint.waiting, owner.hint.limit) : 0;
         const std::uint32_t free = unknown ? 1 : owner.hint.free_slots;
         const std::tuple rank{full, crowd, !owner.same_domain,
@@ -380,6 +394,8 @@
         call.asks.erase(item);
         call.last_refusal = {static_cast<refusal_reason>(message.reason),
                              milliseconds{message.retry_after_ms}};
+        call.refused_for_load |= call.last_refusal.reason == refusal_reason::deadline ||
+                                 call.last_refusal.reason == refusal_reason::queue_full;
         if (call.asks.empty() && !call.queued_here) {
             route(ticket, at, effects);
         }
@@ -456,9 +472,7 @@
         return result;
     }
     const auto hint = hint_now(at);
-    const bool same = hint.free_slots == last_hint_.free_slots && hint.limit == last_hint_.limit &&
-                      hint.waiting == last_hint_.waiting;
-    if (same) {
+    if (!differs(hint, last_hint_)) {
         return result;
     }
     last_hint_ = hint;
--- a/src/dispatch_context.hpp
+++ b/src/dispatch_context.hpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <atomic>
 #include <cstddef>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -99,6 +100,7 @@
     std::size_t slots = 0;
     std::size_t in_flight = 0;
     std::size_t waiting = 0;
+    std::map<std::string, std::size_t> waiting_by_plan;
     /** Sum of the limits of the servers that take new work. */
     std::size_t limit = 0;
     service_counts counts;
--- a/src/dispatch_service.cpp
+++ b/src/dispatch_service.cpp
@@ -10,8 +10,8 @@
 
 constexpr milliseconds retry_when_full{100};
 constexpr milliseconds retry_without_servers{500};
-/** How long calls wait for a lease that ran out before they are refused at once. */
-constexpr milliseconds lease_patience{1'000};
+/** Calls wait for a lost lease or a closed server that may be back within this time. */
+constexpr milliseconds patience{1'000};
 /** Plans looked at for one free slot, so that a call that avoids it does not hold it up. */
 constexpr std::size_t heads_looked_at = 8;
 /** Mean deviations kept free for running a call, on arrival and when its turn comes. */
@@ -91,11 +91,12 @@
 bool service_schedule::hopeful(moment at) const
 {
     if (policy_->uses_ownership() && at.now >= shared_.lease_until.load() &&
-        at.now - shared_.lease_until.load() > lease_patience) {
+        at.now - shared_.lease_until.load() > patience) {
         return false;
     }
-    return std::ranges::any_of(servers_, [](const auto& server) {
-        return server->available && server->health.standing() != server_standing::draining;
+    return std::ranges::any_of(servers_, [&](const auto& server) {
+        return server->available && server->health.standing() != server_standing::draining &&
+               server->closed_until <= at.wall + patience;
     });
 }
 
@@ -500,13 +501,18 @@
 
 void service_schedule::observe_wait(const waiting_call& call, local_time now)
 {
-    if (shared_.measured != nullptr && !call.guest) {
-        const std::chrono::duration<double> waited = now - call.since;
-        shared_.measured
-            ->latency("sniperock_queue_wait_seconds", "Time that granted calls waited for a slot",
-                      {{"plan", call.spec.plan}, {"class", std::string{to_name(call.spec.kind)}}})
-            .Observe(waited.count());
+    if (shared_.measured == nullptr || call.guest) {
+        return;
+    }
+    auto*& histogram = plans_[call.spec.plan].waits[static_cast<std::size_t>(call.spec.kind)];
+    if (histogram == nullptr) {
+        const metric_labels labels{{"plan", call.spec.plan},
+                                   {"class", std::string{to_name(call.spec.kind)}}};
+        histogram = &shared_.measured->latency("sniperock_queue_wait_seconds",
+                                               "Time that granted calls waited for a slot", labels);
     }
+    const std::chrono::duration<double> waited = now - call.since;
+    histogram->Observe(waited.count());
 }
 
 service_status service_schedule::status(wall_time wall) const
@@ -516,6 +522,9 @@
     result.owned_servers = servers_.size();
     result.waiting = queue_.size();
     result.counts = counts_;
+    for (const auto& [plan, state] : plans_) {
+        result.waiting_by_plan[plan] = queue_.size_of(plan);
+    }
     for (const auto& server : servers_) {
         const auto limit = usable_limit(*server, wall);
         result.slots += server->entry.slots;
--- a/src/dispatch_service.hpp
+++ b/src/dispatch_service.hpp
@@ -125,6 +125,8 @@
         std::vector<permit_ask> asks;
         std::set<std::string> asked;
         refusal last_refusal;
+        /** An owner is too busy for it; other busy ones need not be asked. */
+        bool refused_for_load = false;
     };
     /** What is known of another owner. */
     struct owner_sight {
--- a/src/entry_schedule.cpp
+++ b/src/entry_schedule.cpp
@@ -76,8 +76,12 @@
     void show(const service_status& status)
     {
         const metric_labels labels{{"service", status.service}};
-        measured.gauge("sniperock_waiting_calls", "Calls that wait for a slot here", labels)
-            .Set(static_cast<double>(status.waiting));
+        for (const auto& [plan, waiting] : status.waiting_by_plan) {
+            measured
+                .gauge("sniperock_waiting_calls", "Calls that wait for a slot here",
+                       {{"service", status.service}, {"plan", plan}})
+                .Set(static_cast<double>(waiting));
+        }
         measured.gauge("sniperock_owned_in_flight", "Calls in flight on owned servers", labels)
             .Set(static_cast<double>(status.in_flight));
         measured.gauge("sniperock_owned_limit", "Calls that owned servers bear now", labels)
--- a/src/limit_state.hpp
+++ b/src/limit_state.hpp
@@ -1,15 +1,21 @@
 /** @file limit_state.hpp One plan's weight, limits and use of one service on one vm. */
 #pragma once
 
+#include "dispatch_type.hpp"
 #include "limit_plan.hpp"
 #include "queue_estimate.hpp"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 
+namespace prometheus {
+class Histogram;
+} // namespace prometheus
+
 namespace sniperock {
 
 /** Parts of one limit by server name. */
@@ -40,6 +46,8 @@
     std::uint32_t in_flight = 0;
     rate_window rate;
     slot_time held;
+    /** Waits by class of call; null until one was seen. */
+    std::array<prometheus::Histogram*, enum_names<call_class>.size()> waits{};
 
     [[nodiscard]] const plan_rules& in_force() const { return settling ? *settling : rules; }
 };
