Change: A lost owner's servers open by their own word once no old permit can start

Cause: a server taken over without a hand-over stayed closed until the longest deadline of its former owner's permits, 30 s. Change: a grant bounds the start of its call to 2 s; after that a probe that answers with nothing in flight opens the server at its cold limit, at the latest the old bound does. Closed servers come first for probes. In permit_test the server opens within 6 s where a call of 5 s outlives the owner, and not before 30 s if the server always names a call in flight.

--- a/src/dispatch_asks.cpp
+++ b/src/dispatch_asks.cpp
@@ -249,6 +249,7 @@
         message.server = slot->server.server;
         message.address = slot->address;
         message.port = slot->port;
+        message.start_by_us = to_unix_us(slot->fence);
     }
     if (why != nullptr) {
         message.reason = static_cast<std::uint8_t>(why->reason);
@@ -269,9 +270,7 @@
         const auto* record = book_.find(known->permit);
         const auto* server = record == nullptr ? nullptr : find_server(record->server);
         if (server != nullptr) {
-            const grant again{known->permit,         {service_, record->server},
-                              server->entry.address, server->entry.port,
-                              record->fence,         {}};
+            const auto again = grant_of(*record, *server);
             reply(key, permit_answer::granted, &again, nullptr, at, effects);
         }
         else if (known->waiting.value != 0 && calls_.contains(known->waiting)) {
--- a/src/dispatch_context.hpp
+++ b/src/dispatch_context.hpp
@@ -23,6 +23,12 @@
 /** A permit is given back this long after its fence; covers differences between wall clocks. */
 inline constexpr milliseconds fence_margin{100};
 
+/**
+ * A server must not start a call later than this after its slot was granted, so that nothing new
+ * comes from an owner that vanished once this time has passed.
+ */
+inline constexpr milliseconds longest_start{2'000};
+
 /** Limits of a dispatcher. */
 struct dispatch_limits {
     /** Waiting calls per service. */
--- a/src/dispatch_owned.cpp
+++ b/src/dispatch_owned.cpp
@@ -28,6 +28,7 @@
     }
     if (gained.how == takeover::fenced) {
         server->closed_until = gained.old_permits_until;
+        server->started_until = at.wall + longest_start;
         server->limits_from = std::max(server->limits_from, gained.old_permits_until);
     }
     if (gained.how == takeover::handed_over) {
@@ -35,15 +36,14 @@
         server->last_probe = state.last_probe;
         for (const auto& permit : state.outstanding) {
             if (!book_.take_early_release(permit.permit)) {
-                book_.add({permit.permit,
-                           gained.entry.name,
-                           permit.plan,
-                           {permit.holder, {}},
-                           0,
-                           permit.fence,
-                           {},
-                           false,
-                           true});
+                permit_record record;
+                record.permit = permit.permit;
+                record.server = gained.entry.name;
+                record.plan = permit.plan;
+                record.holder = {permit.holder, {}};
+                record.fence = permit.fence;
+                record.counts_for_plan = false;
+                book_.add(record);
                 ++server->in_flight;
             }
         }
@@ -258,8 +258,9 @@
             continue;
         }
         std::vector<probe_need> needs;
-        std::ranges::transform(servers_, std::back_inserter(needs),
-                               [&](const auto& server) { return need_of(*server, at.now); });
+        std::ranges::transform(servers_, std::back_inserter(needs), [&](const auto& server) {
+            return need_of(*server, at.now, at.wall);
+        });
         if (const auto wanted = most_needed(needs)) {
             auto& target = *servers_[*wanted];
             target.probed_at = at.now;
@@ -284,6 +285,10 @@
         server->limit.cut(at.now);
         return;
     }
+    const bool closed = server->closed_until > at.wall;
+    if (closed && at.wall >= server->started_until && report->in_flight == 0) {
+        server->closed_until = at.wall;
+    }
     const bool came_back = server->health.on_probe(*report, at.now);
     if (came_back || report->phase == server_phase::cold) {
         counts_.cold_cuts += server->limit.cut(at.now) ? 1 : 0;
--- a/src/dispatch_service.cpp
+++ b/src/dispatch_service.cpp
@@ -187,9 +187,15 @@
     const auto mean = plan->held.mean().count();
     queue_.charge(call.spec.plan, mean > 0 ? static_cast<double>(mean) : unknown_cost);
     const auto permit = draw_permit();
-    permit_record record{permit, server->entry.name, call.spec.plan, shared_.identity.self,
-                         0,      call.fence,         at.now,         true,
-                         false};
+    permit_record record;
+    record.permit = permit;
+    record.server = server->entry.name;
+    record.plan = call.spec.plan;
+    record.holder = shared_.identity.self;
+    record.fence = call.fence;
+    record.start_by = std::min<wall_time>(call.fence, at.wall + longest_start);
+    record.since = at.now;
+    record.expires = false;
     if (call.guest) {
         record.holder = call.guest->from;
         record.request = call.guest->request;
@@ -200,13 +206,13 @@
         ++counts_.granted_here;
     }
     book_.add(record);
-    return {try_result::granted,
-            {permit,
-             {service_, server->entry.name},
-             server->entry.address,
-             server->entry.port,
-             call.fence,
-             {}}};
+    return {try_result::granted, grant_of(record, *server)};
+}
+
+grant service_schedule::grant_of(const permit_record& record, const server_state& server) const
+{
+    return {record.permit,     {service_, record.server}, server.entry.address,
+            server.entry.port, record.start_by,           {}};
 }
 
 std::optional<refusal> service_schedule::refuse_at_once(const call_spec& spec, moment at)
--- a/src/dispatch_service.hpp
+++ b/src/dispatch_service.hpp
@@ -154,6 +154,7 @@
     [[nodiscard]] nanoseconds peer_latency(const server_state& except);
     server_state* choose_server(const call_spec& spec, bool heed_avoid, moment at);
 
+    [[nodiscard]] grant grant_of(const permit_record& record, const server_state& server) const;
     try_outcome try_slot(const waiting_call& call, moment at);
     std::optional<refusal> refuse_at_once(const call_spec& spec, moment at);
     void serve(moment at, dispatch_effects& effects);
--- a/src/permit_book.hpp
+++ b/src/permit_book.hpp
@@ -24,6 +24,8 @@
     /** The holder's request number; 0 for this vm's own calls. */
     std::uint64_t request = 0;
     wall_time fence;
+    /** The server must not start the call after this. */
+    wall_time start_by{};
     /** When it was granted; 1970 if another owner granted it. */
     local_time since{};
     /** False if it counts against the limits at the owner that granted it. */
--- a/src/permit_type.hpp
+++ b/src/permit_type.hpp
@@ -54,12 +54,14 @@
     std::string server;
     std::string address;
     std::uint16_t port = 0;
+    /** Microseconds since 1970 past which the server must not start the call. */
+    std::int64_t start_by_us = 0;
     /** refusal_reason, if refused. */
     std::uint8_t reason = 0;
     std::int64_t retry_after_ms = 0;
     permit_hint hint;
-    MSGPACK_DEFINE(request, life, service, answer, permit, server, address, port, reason,
-                   retry_after_ms, hint)
+    MSGPACK_DEFINE(request, life, service, answer, permit, server, address, port, start_by_us,
+                   reason, retry_after_ms, hint)
 };
 
 /** Gives a permit back or withdraws a request; repeating it changes nothing. */
--- a/src/probe_schedule.cpp
+++ b/src/probe_schedule.cpp
@@ -41,13 +41,18 @@
     return slot;
 }
 
-probe_need need_of(const server_state& server, local_time now)
+probe_need need_of(const server_state& server, local_time now, wall_time wall)
 {
     probe_need need;
     need.seen = std::max(server.health.last_answer(), server.probed_at);
     if (!server.available || now - server.probed_at < probe_pause) {
         return need;
     }
+    if (server.closed_until > wall) {
+        need.urgency =
+            wall >= server.started_until ? probe_need::level::closed : probe_need::level::none;
+        return need;
+    }
     switch (server.health.standing()) {
     case server_standing::suspended:
         need.urgency =
--- a/src/probe_schedule.hpp
+++ b/src/probe_schedule.hpp
@@ -43,14 +43,14 @@
 
 /** How much a server needs a probe; more is more urgent. */
 struct probe_need {
-    enum class level { none, no_answer_lately, draining, suspended };
+    enum class level { none, no_answer_lately, draining, suspended, closed };
     level urgency = level::none;
     /** Last probe or answer. */
     local_time seen;
 };
 
 /** Judges one server. */
-probe_need need_of(const server_state& server, local_time now);
+probe_need need_of(const server_state& server, local_time now, wall_time wall);
 /** The most urgent, among equals the one not seen for longest; empty if none needs a probe. */
 std::optional<std::size_t> most_needed(std::span<const probe_need> needs);
 
--- a/src/server_state.hpp
+++ b/src/server_state.hpp
@@ -25,6 +25,8 @@
     bool available = true;
     /** Permits of an owner that said nothing may be in use until then. */
     wall_time closed_until{};
+    /** Closed only: no call of such a permit is started after this. */
+    wall_time started_until{};
     /** Its part of the plans' limits may be used from then on. */
     wall_time limits_from{};
     /** Last probe that its part of the budget paid for, whichever server it went to. */
--- a/src/tests/permit_random_test.cpp
+++ b/src/tests/permit_random_test.cpp
@@ -28,6 +28,7 @@
             disturb();
             callers();
             fleet_.step();
+            probe();
             check_now();
         }
         for (milliseconds rest{0}; rest < longest_deadline * 4; ++rest) {
@@ -60,6 +61,24 @@
         }
     }
 
+    /** Servers tell the truth; a closed one may open by it. */
+    void probe()
+    {
+        for (const auto& name : names_) {
+            if (!fleet_.alive(name)) {
+                continue;
+            }
+            auto& vm = fleet_.vm(name);
+            const auto now = fleet_.clock.now();
+            const auto wall = fleet_.clock.wall_now();
+            for (const auto& order : vm.take_probes(now, wall)) {
+                const auto& server = fleet_.servers[order.server.server];
+                vm.on_probe(order.server, load_report{server.phase, server.in_flight, 3}, now,
+                            wall);
+            }
+        }
+    }
+
     void disturb()
     {
         if (fleet_.chance(0.02)) {
--- a/src/tests/permit_test.cpp
+++ b/src/tests/permit_test.cpp
@@ -89,6 +89,44 @@
     CHECK(fleet.vm("a").status().front().in_flight == 0);
 }
 
+TEST_CASE("a lost owner's server opens by its own word once no old permit can start, at the latest "
+          "when they are over")
+{
+    for (const bool honest : {true, false}) {
+        fake_fleet fleet(1, {"a", "b"}, warm(make_servers(2, 3)), one_plan);
+        // Calls fill the server of b, and one of b on the server of a outlives a.
+        for (int count = 0; count < 3; ++count) {
+            fleet.ask("b", "gold", milliseconds{60'000}, seconds{5});
+        }
+        const auto& old = fleet.ask("b", "gold", milliseconds{60'000}, seconds{5});
+        steps(fleet, 10);
+        REQUIRE(old.held);
+        CHECK(old.held->owner == "a");
+        fleet.crash("a");
+        fleet.take_over("s0", "b", fleet.clock.wall_now() + seconds{30});
+        const auto start = fleet.clock.now();
+        milliseconds opened{0};
+        while (opened == milliseconds{0} && fleet.clock.now() - start < seconds{60}) {
+            fleet.step();
+            const auto now = fleet.clock.now();
+            const auto wall = fleet.clock.wall_now();
+            for (const auto& order : fleet.vm("b").take_probes(now, wall)) {
+                const auto running = honest ? fleet.servers[order.server.server].in_flight : 1;
+                fleet.vm("b").on_probe(order.server, load_report{server_phase::warm, running, 3},
+                                       now, wall);
+            }
+            if (fleet.vm("b").status().front().servers.back().limit > 0) {
+                opened = std::chrono::duration_cast<milliseconds>(now - start);
+            }
+        }
+        INFO("honest " << honest);
+        CHECK(old.done);
+        CHECK(opened >= longest_start);
+        CHECK(opened <= (honest ? milliseconds{6'000} : milliseconds{31'000}));
+        CHECK((honest || opened >= milliseconds{30'000}));
+    }
+}
+
 TEST_CASE("a waiting call goes where a slot falls free")
 {
     fake_fleet fleet(1, {"a", "b"}, warm(make_servers(2, 1)), one_plan, {0, 0, milliseconds{1}});
