--- a/src/cli_commands.cpp
+++ b/src/cli_commands.cpp
@@ -24,23 +24,11 @@
     entry_node node(load_settings((*given)["settings"].as<std::string>()));
     node.start();
     wait_for_signal();
+    node.leave();
     node.stop();
     return exit_code::success;
 }
 
-int run_check(const arguments& args)
-{
-    po::options_description options("sniperock check --settings FILE");
-    options.add_options()("settings", po::value<std::string>()->required(), "INI file");
-    const auto given = parse_options(options, args);
-    if (!given) {
-        return exit_code::success;
-    }
-    load_settings((*given)["settings"].as<std::string>());
-    std::cout << "no findings\n";
-    return exit_code::success;
-}
-
 int run_settings(const arguments& args)
 {
     po::options_description options("sniperock settings: lists every setting");
@@ -62,7 +50,6 @@
 }
 
 const subcommand_registration entry_command("entry", "run one entry vm's process", run_entry);
-const subcommand_registration check_command("check", "check settings and lists", run_check);
 const subcommand_registration settings_command("settings", "list every setting", run_settings);
 const subcommand_registration events_command("events", "print the catalogue of events", run_events);
 
--- a/src/entry_node.hpp
+++ b/src/entry_node.hpp
@@ -27,6 +27,11 @@
 
     /** Opens the listening sockets and starts all threads. @throws std::exception */
     void start();
+    /**
+     * Leaves gracefully: unlisted, servers handed over, running calls ended; members.leave_bound
+     * bounds the wait. Call stop() afterwards.
+     */
+    void leave();
     /** Stops all threads. */
     void stop();
     [[nodiscard]] entry_ports ports() const;
@@ -38,7 +43,4 @@
     std::unique_ptr<impl> impl_;
 };
 
-/** Key of the store object that holds the configuration. */
-inline constexpr const char* config_key = "config";
-
 } // namespace sniperock
--- a/src/epoch_machine.cpp
+++ b/src/epoch_machine.cpp
@@ -168,7 +168,7 @@
     for (const auto& earlier : object.unfenced) {
         const auto known = fences_.find(earlier.number);
         fences[earlier.number] =
-            known == fences_.end() ? fence_state{earlier, now, {}, false} : known->second;
+            known == fences_.end() ? fence_state{earlier, {}, false} : known->second;
     }
     fences_ = std::move(fences);
     adopted_ = std::make_shared<const epoch_object>(object);
@@ -208,8 +208,7 @@
         if (!state.majority_seen && static_cast<std::size_t>(moved) >= majority_of(state.epoch)) {
             state.majority_seen = now;
         }
-        state.done = state.majority_seen && now > *state.majority_seen + wait &&
-                     now > state.newer_known + wait;
+        state.done = state.majority_seen && now > *state.majority_seen + wait;
         if (state.done) {
             out.emplace_back(epoch_fenced{number});
         }
@@ -392,6 +391,11 @@
     return out;
 }
 
+bool epoch_machine::leaves_nobody(local_time now) const
+{
+    return leaving_ && members_.wanted(adopted_->current, true, now).members.empty();
+}
+
 std::vector<epoch_membership> epoch_machine::prune(const std::vector<epoch_member>& next) const
 {
     std::vector<epoch_membership> unfenced;
@@ -437,9 +441,10 @@
         read_store(now, out);
         return;
     }
+    const auto& next = changed ? wanted.members : epoch.members;
     write_epoch write;
-    write.object.current = {{epoch.number.value + 1}, wanted.members, settings_.spread};
-    write.object.unfenced = prune(wanted.members);
+    write.object.current = {{epoch.number.value + 1}, next, settings_.spread};
+    write.object.unfenced = prune(next);
     write.object.change_id = random_();
     write.expected = stored_->version;
     written_ = write.object;
--- a/src/epoch_machine.hpp
+++ b/src/epoch_machine.hpp
@@ -78,14 +78,15 @@
     [[nodiscard]] const epoch_counts& counts() const { return counts_; }
     [[nodiscard]] const epoch_member& self() const { return self_; }
     [[nodiscard]] bool is_leaving() const { return leaving_; }
+    /** True if this vm leaves and no other would stay. */
+    [[nodiscard]] bool leaves_nobody(local_time now) const;
 
 private:
     /** Progress towards the fence of one earlier epoch. */
     struct fence_state {
         epoch_membership epoch;
-        /** When a newer epoch was first known here. */
-        local_time newer_known;
-        /** When a majority was first seen to have moved on. */
+        /** When a majority was first seen to have moved on; the commit of a newer epoch came
+         * before that. */
         std::optional<local_time> majority_seen;
         bool done = false;
     };
--- a/src/http_type.hpp
+++ b/src/http_type.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <algorithm>
-#include <cctype>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,12 +16,18 @@
     std::string value;
 };
 
+/** The lower-case form of an ASCII letter; other characters as they are. */
+constexpr char to_lower_ascii(char ch)
+{
+    return ch >= 'A' && ch <= 'Z' ? static_cast<char>(ch - 'A' + 'a') : ch;
+}
+
 /** True if both are equal but for the case of ASCII letters. */
-inline bool equal_ignoring_case(std::string_view left, std::string_view right)
+constexpr bool equal_ignoring_case(std::string_view left, std::string_view right)
 {
-    return std::ranges::equal(left, right, [](unsigned char a, unsigned char b) {
-        return std::tolower(a) == std::tolower(b);
-    });
+    return left.size() == right.size() && std::ranges::equal(left, right, [](char a, char b) {
+               return to_lower_ascii(a) == to_lower_ascii(b);
+           });
 }
 
 /** Header lines in the order received. */
@@ -42,10 +47,30 @@
     }
     [[nodiscard]] const std::vector<http_header>& lines() const { return lines_; }
     [[nodiscard]] std::vector<http_header>& lines() { return lines_; }
-    void clear() { lines_.clear(); }
+    /** Appends an empty line, in memory of a cleared one if there is any. */
+    http_header& add_empty()
+    {
+        if (spare_.empty()) {
+            return lines_.emplace_back();
+        }
+        lines_.push_back(std::move(spare_.back()));
+        spare_.pop_back();
+        return lines_.back();
+    }
+    /** Removes all lines and keeps their memory for the next ones. */
+    void clear()
+    {
+        for (auto& line : lines_) {
+            line.name.clear();
+            line.value.clear();
+            spare_.push_back(std::move(line));
+        }
+        lines_.clear();
+    }
 
 private:
     std::vector<http_header> lines_;
+    std::vector<http_header> spare_;
 };
 
 /** How the length of a body is told. */
@@ -65,6 +90,21 @@
     std::uint64_t body_length = 0;
     /** The connection may be used for another message after this one. */
     bool keep_alive = true;
+    /** The peer speaks HTTP/1.1; false for an older version. */
+    bool version_1_1 = true;
+
+    /** Forgets the message and keeps the memory. */
+    void clear()
+    {
+        method.clear();
+        target.clear();
+        headers.clear();
+        status = 0;
+        framing = body_framing::none;
+        body_length = 0;
+        keep_alive = true;
+        version_1_1 = true;
+    }
 };
 
 } // namespace sniperock
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -30,6 +30,20 @@
     // 4xx: ownership.
     event_descriptor{event::epoch_adopted, event_level::info, "ownership", "epoch_adopted",
                      "This vm adopted a newer ownership epoch."},
+    event_descriptor{event::epoch_fenced, event_level::info, "ownership", "epoch_fenced",
+                     "No lease of an earlier epoch can run any more."},
+    event_descriptor{event::servers_gained, event_level::info, "ownership", "servers_gained",
+                     "This vm grants on more servers from now on."},
+    event_descriptor{event::servers_given_up, event_level::info, "ownership", "servers_given_up",
+                     "This vm stopped granting on servers that another owns now."},
+    event_descriptor{event::vm_superseded, event_level::error, "ownership", "vm_superseded",
+                     "A newer process of this vm's name was seen; this one grants nothing more."},
+    event_descriptor{event::epoch_malformed, event_level::error, "ownership", "epoch_malformed",
+                     "The stored epoch object cannot be read; ownership stays as it is."},
+    event_descriptor{event::leave_started, event_level::info, "ownership", "leave_started",
+                     "This vm leaves: unlisted, its servers are being handed over."},
+    event_descriptor{event::leave_ended, event_level::info, "ownership", "leave_ended",
+                     "This vm has left; the fields say what was still held or in flight."},
     // 5xx: store.
     event_descriptor{event::store_lost, event_level::warning, "store", "store_lost",
                      "The object store stopped answering."},
@@ -40,12 +54,20 @@
                      "A newer configuration revision is in force on this vm."},
     event_descriptor{event::config_refused, event_level::error, "config", "config_refused",
                      "A stored configuration revision has faults; the last good one stays."},
+    event_descriptor{event::take_out_unrecorded, event_level::warning, "config",
+                     "take_out_unrecorded",
+                     "A change of availability holds, and the store has not recorded it yet."},
+    event_descriptor{event::take_out_settled, event_level::info, "config", "take_out_settled",
+                     "A change of availability that was unrecorded has been recorded, was "
+                     "replaced, or is too old to be recorded."},
     // 7xx: peers.
     event_descriptor{event::peer_message_dropped, event_level::warning, "peers",
                      "peer_message_dropped", "A message between entry vms was dropped."},
     // 8xx: administration.
     event_descriptor{event::admin_change, event_level::info, "admin", "admin_change",
-                     "An operator changed the configuration."},
+                     "An operator asked for a change; the fields say who, what and how it ended."},
+    event_descriptor{event::admin_refused, event_level::warning, "admin", "admin_refused",
+                     "A request to the administration API had no valid key."},
 };
 
 } // namespace sniperock
