Codechange: Two linter findings in the dispatcher's tests

A handler takes its result by reference; a vector of threads reserves its size. The two test files compile; they were not run again with this change.

--- a/src/tests/dispatch_fleet.hpp
+++ b/src/tests/dispatch_fleet.hpp
@@ -147,7 +147,7 @@
         call->deadline = clock.now() + timeout;
         const call_spec spec{"portal", plan, call_class::safe, call->deadline, {}};
         call->ticket = vm(home).acquire(spec, clock.now(), clock.wall_now(),
-                                        [this, call, service_time](grant_result result) {
+                                        [this, call, service_time](const grant_result& result) {
                                             answer(*call, result, service_time);
                                         });
         return *call;
--- a/src/tests/dispatch_test.cpp
+++ b/src/tests/dispatch_test.cpp
@@ -131,6 +131,7 @@
     };
     {
         std::vector<std::jthread> running;
+        running.reserve(threads);
         for (int number = 0; number < threads; ++number) {
             running.emplace_back(run, std::ref(*vms[number % 2]), number);
         }
