Fix: The slot of an abandoned call is held until its server has let go of it

Cause: a call that was given up (a hedge that lost, a caller who left) gave its slot back at once, but its server learns of that from the connection, a moment later; the next call could meet it there. The demonstration under load showed 4 calls in flight on 3 slots and 2 on a cold server that bears 1. Ruled out for now by the ownership schedules: two owners at a time.

--- a/src/edge_attempt.cpp
+++ b/src/edge_attempt.cpp
@@ -41,6 +41,7 @@
     request_done_ = false;
     request_broken_ = false;
     flushing_ = false;
+    peer_closed_ = false;
     connect();
 }
 
@@ -152,6 +153,7 @@
     asio::error_code error;
     const auto size = connection_->stream.read(context_.upstream_input, error);
     if (error) {
+        peer_closed_ = true;
         end_of_input();
         return;
     }
@@ -243,10 +245,20 @@
             report.load = parse_load(*load);
         }
     }
+    if (server_may_run()) {
+        context_.abandoned.add(std::move(connection_), slot_.pass_on(), report, call_->deadline());
+        return;
+    }
     keep_or_close();
     slot_.finish(report);
 }
 
+bool edge_attempt::server_may_run() const
+{
+    return connection_ && connected_ && written_ && !whole_ && !peer_closed_ &&
+           connection_->stream.is_open() && boot_clock::now() < call_->deadline();
+}
+
 void edge_attempt::keep_or_close()
 {
     if (!connection_) {
--- a/src/edge_attempt.hpp
+++ b/src/edge_attempt.hpp
@@ -66,6 +66,8 @@
     void end_of_input();
     void await_flush();
     void keep_or_close();
+    /** The request was written, and neither a whole answer nor the server's close has come. */
+    [[nodiscard]] bool server_may_run() const;
 
     edge_call* call_;
     edge_context& context_;
@@ -84,6 +86,7 @@
     bool request_done_ = false;
     bool request_broken_ = false;
     bool flushing_ = false;
+    bool peer_closed_ = false;
     bool ended_ = false;
 };
 
--- a/src/edge_call.hpp
+++ b/src/edge_call.hpp
@@ -53,6 +53,8 @@
     // For its attempts.
     [[nodiscard]] bool is_head_request() const;
     [[nodiscard]] bool caller_backlogged() const;
+    /** Past this nobody waits for the answer and no server runs the call. */
+    [[nodiscard]] local_time deadline() const { return request_.spec.deadline; }
     void attempt_connected(edge_attempt& attempt);
     void attempt_failed(edge_attempt& attempt, std::string_view why);
     void attempt_head(edge_attempt& attempt);
--- a/src/edge_context.cpp
+++ b/src/edge_context.cpp
@@ -11,10 +11,10 @@
 } // namespace
 
 edge_context::edge_context(asio::io_context& with_io, const edge_parts& with_parts)
-    : io(with_io), parts(with_parts), pool(with_io), timers(with_io),
+    : io(with_io), parts(with_parts), pool(with_io), timers(with_io), caller_input(input_bytes),
+      upstream_input(input_bytes), abandoned(timers, upstream_input),
       retries(with_parts.limits.retry_ratio, with_parts.limits.retry_burst),
-      hedges(with_parts.limits.hedge_ratio, with_parts.limits.hedge_burst),
-      caller_input(input_bytes), upstream_input(input_bytes)
+      hedges(with_parts.limits.hedge_ratio, with_parts.limits.hedge_burst)
 {
     append_number(id_prefix_, random_seed());
     id_prefix_ += '-';
--- a/src/edge_context.hpp
+++ b/src/edge_context.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "edge_budget.hpp"
+#include "edge_linger.hpp"
 #include "edge_metrics.hpp"
 #include "edge_router.hpp"
 #include "edge_server.hpp"
@@ -45,11 +46,13 @@
     edge_parts parts;
     upstream_pool pool;
     edge_timers timers;
-    attempt_budget retries;
-    attempt_budget hedges;
     /** Scratch buffers; their contents are used up before control returns to the io loop. */
     std::vector<char> caller_input;
     std::vector<char> upstream_input;
+    /** Slots of calls that were given up and that their servers may still run. */
+    edge_linger abandoned;
+    attempt_budget retries;
+    attempt_budget hedges;
     std::string caller_output;
     std::string upstream_output;
     std::thread::id thread;
--- a/src/edge_server.cpp
+++ b/src/edge_server.cpp
@@ -49,6 +49,7 @@
                 session->close();
             }
             sessions_.clear();
+            context_.abandoned.clear();
             context_.pool.clear();
             context_.timers.stop();
             io_.stop();
--- a/src/edge_slot.hpp
+++ b/src/edge_slot.hpp
@@ -21,6 +21,13 @@
     held_slot(const held_slot&) = delete;
     held_slot& operator=(const held_slot&) = delete;
 
+    /** Moves the duty to release on; what was granted can still be read here. */
+    [[nodiscard]] held_slot pass_on()
+    {
+        held_slot next(*slots_, grant_);
+        slots_ = nullptr;
+        return next;
+    }
     /** What was granted. */
     [[nodiscard]] const grant& get() const { return grant_; }
     /** Releases the slot; does nothing the second time. */
--- a/src/tests/entry_config_test.cpp
+++ b/src/tests/entry_config_test.cpp
@@ -29,7 +29,7 @@
                                       "-domain\n[admin]\nfirst_key_sha256 = " + sha256_hex(key) +
                                       "\n[store]\ntimeout = 300\n",
                                   "test")),
-          link({name, incarnation{1}}, "peers")
+          link({name, incarnation{1}}, peer_keys(std::vector<peer_key>{{"1", "peers"}}))
     {
         settings.store_port = store_port;
         configuration = std::make_unique<entry_config>(settings, link, measured);
--- a/tools/model.sh
+++ b/tools/model.sh
@@ -30,6 +30,7 @@
 
 # check NUMBER RUN: prints one line and fails if the verdict is not the expected one.
 check() {
+    set -euo pipefail
     local number=$1 expected specification options
     IFS='|' read -r expected specification options <<<"$2"
     local place="$work/$number"
