Fix: A test that pins the held slot of an abandoned call

Change: a server that notices its caller's close and goes on working keeps its one slot; the next call waits until it has let go.

--- a/src/tests/edge_path_test.cpp
+++ b/src/tests/edge_path_test.cpp
@@ -149,6 +149,44 @@
     CHECK(eventually([&] { return rig.in_flight() == 0; }));
 }
 
+TEST_CASE("the slot of an abandoned call stays taken until its server has let go of it")
+{
+    std::atomic<int> running{0};
+    std::atomic<int> most_running{0};
+    std::promise<void> noticed;
+    std::promise<void> let_go;
+    auto may_let_go = let_go.get_future().share();
+    std::atomic<int> calls{0};
+    scripted_server server([&](test_connection& peer) {
+        while (!peer.read_head().empty()) {
+            most_running = std::max<int>(most_running, ++running);
+            if (++calls == 1) {
+                peer.wait_closed();
+                noticed.set_value();
+                may_let_go.wait();
+                --running;
+                return;
+            }
+            --running;
+            peer.send(answer_of("x"));
+        }
+    });
+    edge_rig rig({server.port()}, edge_rig::quick_limits(), 1);
+    auto leaver = rig.connect();
+    leaver->send(rig.request("POST"));
+    REQUIRE(eventually([&] { return calls == 1; }));
+    auto next = rig.connect();
+    next->send(rig.request("POST", "Connection: close\r\n"));
+    REQUIRE(eventually([&] { return rig.waiting() == 1; }));
+    leaver->close();
+    noticed.get_future().wait();
+    CHECK(rig.in_flight() == 1);
+    CHECK(rig.waiting() == 1);
+    let_go.set_value();
+    CHECK(next->read_all().ends_with("x"));
+    CHECK(most_running == 1);
+}
+
 TEST_CASE("a caller who leaves while the call waits gives its place up")
 {
     std::atomic<int> seen{0};
