--- a/src/edge_type.hpp
+++ b/src/edge_type.hpp
@@ -23,6 +23,8 @@
     milliseconds header_timeout{10'000};
     milliseconds idle_timeout{60'000};
     milliseconds default_deadline{10'000};
+    /** Longest deadline of a call; a caller who states a longer one gets this one. */
+    milliseconds max_deadline{30'000};
     /** Longest body of a request in bytes; more is refused with 413. */
     std::uint64_t max_body_bytes = std::uint64_t{16} << 30U;
     /** Longest wait for a connection to a server. */
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -33,6 +33,7 @@
     limits.header_timeout = settings.header_timeout;
     limits.idle_timeout = settings.idle_timeout;
     limits.default_deadline = settings.default_deadline;
+    limits.max_deadline = settings.ownership_permit_life;
     return limits;
 }
 
--- a/src/tests/edge_outcome_test.cpp
+++ b/src/tests/edge_outcome_test.cpp
@@ -181,6 +181,15 @@
     CHECK(eventually([&] { return rig.in_flight() == 0; }));
 }
 
+TEST_CASE("a caller who states a longer deadline than is allowed gets the longest one")
+{
+    scripted_server silent([](test_connection& peer) { peer.wait_closed(); });
+    auto limits = edge_rig::quick_limits();
+    limits.max_deadline = milliseconds{50};
+    edge_rig rig({silent.port()}, limits);
+    CHECK(rig.ask("POST", "X-Timeout-Ms: 80000000\r\n").starts_with("HTTP/1.1 504"));
+}
+
 TEST_CASE("a call whose deadline passes in the queue was not run")
 {
     scripted_server silent([](test_connection& peer) { peer.wait_closed(); });
