Fix: The probe budget is checked at every rate, and probes are looked for less often

Cause: taking the budget's rule out (slots of half the length) left every test green: the schedule test runs at 10 probes a second only, where the shortest slot hides it. And each tick of 5 ms visited every service for probes, though the shortest slot is 100 ms. Change: a test over rates from 1 to 200; probes are looked for every 25 ms.

--- a/src/edge_session.cpp
+++ b/src/edge_session.cpp
@@ -282,7 +282,11 @@
         return;
     }
     const auto now = boot_clock::now();
-    call_request request{{service->name, plan_->name, classify(head.method), now + std::min(*timeout, limits.max_deadline), {}},
+    call_request request{{service->name,
+                          plan_->name,
+                          classify(head.method),
+                          now + std::min(*timeout, limits.max_deadline),
+                          {}},
                          series_,
                          &context_.latency_of(service->name),
                          service->servers.size(),
--- a/src/entry_schedule.cpp
+++ b/src/entry_schedule.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr milliseconds tick_period{5};
+/** A quarter of the shortest slot of a probe. */
+constexpr milliseconds probe_period{25};
 constexpr milliseconds probe_timeout{250};
 constexpr seconds report_period{1};
 
@@ -55,8 +57,10 @@
         const auto now = boot_clock::now();
         const auto wall = system_clock_source::wall_now();
         slots.tick(now, wall);
-        for (const auto& order : slots.take_probes(now, wall)) {
-            probes.run(order);
+        if (now - probed_at >= probe_period) {
+            probed_at = now;
+            std::ranges::for_each(slots.take_probes(now, wall),
+                                  [this](const probe_order& order) { probes.run(order); });
         }
         if (now - reported_at >= report_period) {
             reported_at = now;
@@ -150,6 +154,7 @@
     asio::steady_timer timer;
     probe_runner probes;
     local_time reported_at{};
+    local_time probed_at{};
     std::map<std::string, service_status> shown;
     std::thread thread;
 };
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -91,9 +91,10 @@
     setting_descriptor{"ownership", "margin", &entry_settings::ownership_margin, "ms", "30", 0,
                        day_ms, setting_flag::optional,
                        "Wait for another's lease beyond a term and 2% of drift"},
-    setting_descriptor{"ownership", "permit_life", &entry_settings::ownership_permit_life, "ms",
-                       "30000", 1, day_ms, setting_flag::optional,
-                       "Longest deadline of a call, and how long a lost owner's permits may be used"},
+    setting_descriptor{
+        "ownership", "permit_life", &entry_settings::ownership_permit_life, "ms", "30000", 1,
+        day_ms, setting_flag::optional,
+        "Longest deadline of a call, and how long a lost owner's permits may be used"},
     // Members.
     setting_descriptor{"members", "heartbeat", &entry_settings::member_heartbeat, "ms", "200", 10,
                        60'000, setting_flag::optional, "Between two heartbeats to one vm"},
--- a/src/tests/probe_schedule_test.cpp
+++ b/src/tests/probe_schedule_test.cpp
@@ -43,6 +43,23 @@
     CHECK(most_in_all >= 2 * rate);
 }
 
+TEST_CASE("the slots of a minute hold no more probes than a minute of the rate, at any rate")
+{
+    constexpr seconds minute{60};
+    const wall_time start{std::chrono::hours{24}};
+    for (std::uint32_t rate = 1; rate <= 200; ++rate) {
+        INFO("rate " << rate);
+        std::uint64_t probes = 0;
+        auto slot = probe_slot_at(rate, start);
+        while (slot.start < start + minute) {
+            probes += slot.probes;
+            slot = probe_slot_at(rate, slot.start + slot.length);
+        }
+        CHECK(probes <= rate * static_cast<std::uint64_t>(minute.count()) + 1);
+        CHECK(probes > 0);
+    }
+}
+
 TEST_CASE("a probe goes to the suspended server first and never without a lease")
 {
     std::vector<probe_need> needs(3);
