Fix: A broken connection cuts a server's limit, and no call reconnects in its old slot

Cause: a server that restarts cold under load breaks its connections. The break did not count as a sign of cold, and calls that met it on a kept connection opened a new one to the same server within the slots of its warm limit: two calls met a server that bears one, and it fell over. Change: a call that failed after it was sent cuts the limit at once; a call on a kept connection that dies gives its slot back and asks for a new one under the limit that now holds.

--- a/src/edge_attempt.cpp
+++ b/src/edge_attempt.cpp
@@ -31,20 +31,6 @@
     connect();
 }
 
-void edge_attempt::reopen()
-{
-    connection_->set_input_handler({});
-    connection_->stream.close();
-    reused_ = false;
-    connected_ = false;
-    written_ = false;
-    request_done_ = false;
-    request_broken_ = false;
-    flushing_ = false;
-    peer_closed_ = false;
-    connect();
-}
-
 void edge_attempt::connect()
 {
     connection_ = context_.pool.make_connection();
--- a/src/edge_attempt.hpp
+++ b/src/edge_attempt.hpp
@@ -25,8 +25,6 @@
      * @param proven_within how lately a kept connection must have answered.
      */
     void open(milliseconds proven_within);
-    /** Goes on with a fresh connection to the same server, in the same slot. */
-    void reopen();
     /** Sends bytes of the request. */
     void send(std::span<const std::string_view> parts);
     /** All of the request was handed to send(). */
--- a/src/edge_call.cpp
+++ b/src/edge_call.cpp
@@ -322,7 +322,7 @@
         broken_off();
         return;
     }
-    if (try_same_server(attempt)) {
+    if (ask_anew(attempt)) {
         return;
     }
     const bool written = attempt.written();
@@ -335,8 +335,12 @@
     }
 }
 
-/** A kept connection that the server had closed says nothing about the server: opens a new one. */
-bool edge_call::try_same_server(edge_attempt& attempt)
+/**
+ * A kept connection that the server had closed is no verdict on it, but it may have restarted cold:
+ * the slot goes back, and a new one is asked for under the limit that now holds.
+ * @return false if the call may not be repeated.
+ */
+bool edge_call::ask_anew(edge_attempt& attempt)
 {
     if (!attempt.reused() || attempt.heard() || replay_lost_) {
         return false;
@@ -348,7 +352,12 @@
         maybe_ran_ = true;
         context_.parts.measured.retries.Increment();
     }
-    attempt.reopen();
+    attempt.distrust_server();
+    attempt.end(call_result::failed);
+    remove(attempt);
+    if (attempts_.empty() && !waiting_) {
+        request_slot();
+    }
     return true;
 }
 
--- a/src/edge_call.hpp
+++ b/src/edge_call.hpp
@@ -86,7 +86,7 @@
     bool go_on_answer(edge_attempt& attempt);
     bool may_try_again() const;
     bool try_again(edge_attempt& attempt, bool may_have_run);
-    bool try_same_server(edge_attempt& attempt);
+    bool ask_anew(edge_attempt& attempt);
     void broken_off();
     void remove(const edge_attempt& attempt);
     [[nodiscard]] call_outcome outcome_so_far() const;
--- a/src/plugin.hpp
+++ b/src/plugin.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <ranges>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -56,11 +57,8 @@
     /** Names of all plug-ins, sorted. */
     [[nodiscard]] std::vector<std::string> names() const
     {
-        std::vector<std::string> result;
-        for (const auto& [name, make] : factories_) {
-            result.push_back(name);
-        }
-        return result;
+        const auto keys = std::views::keys(factories_);
+        return {keys.begin(), keys.end()};
     }
 
 private:
--- a/src/server_state.cpp
+++ b/src/server_state.cpp
@@ -40,6 +40,7 @@
     switch (report.result) {
     case call_result::shed:
     case call_result::not_sent:
+    case call_result::failed:
         return server.limit.cut(now);
     case call_result::answered:
         break;
