Fix: A test for answers that come after their call has ended

Cause: with both checks of idle connections taken out every test stayed green: the test before sent its surplus bytes together with the answer. Change: a server that answers, waits until the call has ended, and sends another answer.

--- a/src/tests/edge_path_test.cpp
+++ b/src/tests/edge_path_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <utility>
 
 using namespace sniperock;
 
@@ -233,6 +234,31 @@
     CHECK(server.accepted() == 2);
 }
 
+TEST_CASE("an answer that comes after its call has ended never reaches another caller")
+{
+    std::atomic<int> connections{0};
+    std::promise<void> may_be_late;
+    std::promise<void> sent_late;
+    auto late = may_be_late.get_future().share();
+    scripted_server server([&](test_connection& peer) {
+        bool first = ++connections == 1;
+        while (!peer.read_head().empty()) {
+            peer.send(answer_of(first ? "first" : "second"));
+            if (std::exchange(first, false)) {
+                late.wait();
+                peer.send(answer_of("late"));
+                sent_late.set_value();
+            }
+        }
+    });
+    edge_rig rig({server.port()});
+    CHECK(rig.ask("GET").ends_with("first"));
+    REQUIRE(eventually([&] { return rig.in_flight() == 0; }));
+    may_be_late.set_value();
+    sent_late.get_future().wait();
+    CHECK(rig.ask("GET").ends_with("second"));
+}
+
 TEST_CASE("a download that breaks off goes on from another server")
 {
     const std::string body = std::string(70'000, 'a') + std::string(50'000, 'b');
