--- /dev/null
+++ b/src/async.cpp
@@ -0,0 +1,65 @@
+/** @file async.cpp Helpers for coroutines on one io thread. */
+#include "async_func.hpp"
+
+#include <asio/co_spawn.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/this_coro.hpp>
+#include <asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <exception>
+
+namespace sniperock {
+
+void async_signal::notify()
+{
+    signalled_ = true;
+    timer_.cancel();
+}
+
+task<> async_signal::wait_for(nanoseconds limit)
+{
+    if (!signalled_) {
+        asio::error_code ignored;
+        timer_.expires_after(std::max(limit, nanoseconds{0}));
+        co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    signalled_ = false;
+}
+
+time_limit::time_limit(const asio::any_io_executor& executor, nanoseconds after,
+                       std::function<void()> expired)
+    : state_(std::make_shared<state>(state{std::move(expired)})), timer_(executor)
+{
+    timer_.expires_after(std::max(after, nanoseconds{0}));
+    timer_.async_wait([held = state_](const asio::error_code& error) {
+        if (!error && held->call) {
+            held->expired = true;
+            held->call();
+        }
+    });
+}
+
+void time_limit::cancel()
+{
+    state_->call = nullptr;
+    timer_.cancel();
+}
+
+task<> sleep_for(nanoseconds time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    asio::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+void start_task(const asio::any_io_executor& executor, task<> work)
+{
+    asio::co_spawn(executor, std::move(work), [](const std::exception_ptr& failure) {
+        if (failure) {
+            std::rethrow_exception(failure);
+        }
+    });
+}
+
+} // namespace sniperock
--- /dev/null
+++ b/src/call_attempt.cpp
@@ -0,0 +1,222 @@
+/** @file call_attempt.cpp One attempt at a request on one upstream. */
+#include "call_attempt.hpp"
+
+#include "event_type.hpp"
+#include "http_write.hpp"
+
+#include <algorithm>
+
+namespace sniperock {
+namespace {
+
+/** Answers up to this length are kept until they are whole, so that a broken one can be replaced.
+ */
+constexpr std::size_t keep_whole_bytes = 1U << 20U;
+/** Longest wait for a connection; some hundred times a usual handshake. */
+constexpr milliseconds connect_limit{300};
+/** Pause between looks whether the caller has read what it was sent. */
+constexpr milliseconds backlog_pause{2};
+constexpr int first_failure_status = 500;
+constexpr int first_redirect_status = 300;
+constexpr int status_ok = 200;
+constexpr int status_misdirected = 421;
+
+bool is_success(int status)
+{
+    return status >= status_ok && status < first_redirect_status;
+}
+
+} // namespace
+
+call_attempt::call_attempt(call_context& context, attempt_order order, picked_upstream picked)
+    : context_(context), order_(std::move(order)), picked_(std::move(picked)),
+      connection_(picked_.connection),
+      may_stream_(std::make_shared<async_signal>(context.io.get_executor())),
+      started_(boot_clock::now())
+{
+}
+
+void call_attempt::cancel()
+{
+    cancelled_ = true;
+    if (connection_) {
+        connection_->close();
+    }
+    may_stream_->notify();
+}
+
+task<> call_attempt::run(std::shared_ptr<call_attempt> self, std::shared_ptr<async_signal> changed)
+{
+    self->changed_ = std::move(changed);
+    const auto end = co_await self->exchange_messages();
+    self->settle(end);
+    self->changed_->notify();
+}
+
+/** Connects if need be, sends the request and reads the answer. */
+task<attempt_end> call_attempt::exchange_messages()
+{
+    if (!connection_) {
+        connection_ = context_.pool.take_idle(*picked_.target, boot_clock::now());
+    }
+    if (!connection_) {
+        connection_ = context_.pool.make();
+        const time_limit limit(context_.io.get_executor(), connect_limit,
+                               [this] { connection_->close(); });
+        const bool connected = co_await connection_->connect(picked_.target->entry.endpoint);
+        if (!connected) {
+            co_return cancelled_ ? attempt_end::cancelled : attempt_end::not_sent;
+        }
+    }
+    if (cancelled_ || !context_.registry.usable(*picked_.target)) {
+        co_return cancelled_ ? attempt_end::cancelled : attempt_end::not_sent;
+    }
+    connection_->send(request_bytes(), order_.exchange->request().head.method == "HEAD");
+    sent_ = true;
+    const auto end = co_await read_answer();
+    sent_ = connection_->sent();
+    if (end == attempt_end::broken && !sent_) {
+        co_return cancelled_ ? attempt_end::cancelled : attempt_end::not_sent;
+    }
+    co_return end == attempt_end::broken&& cancelled_ ? attempt_end::cancelled : end;
+}
+
+std::string call_attempt::request_bytes() const
+{
+    const auto& request = order_.exchange->request();
+    const auto& dialect = context_.dialect;
+    std::string bytes;
+    append_request_line(bytes, request.head.method, request.head.target);
+    append_end_to_end_headers(bytes, request.head.headers, [&](std::string_view name) {
+        return !equal_ignoring_case(name, dialect.deadline_ms) &&
+               !equal_ignoring_case(name, dialect.expected_upstream) &&
+               !equal_ignoring_case(name, "expect");
+    });
+    const auto left = std::chrono::duration_cast<milliseconds>(order_.deadline - boot_clock::now());
+    append_header(bytes, dialect.deadline_ms,
+                  std::to_string(std::max<std::int64_t>(left.count(), 1)));
+    append_header(bytes, dialect.expected_upstream, picked_.target->entry.id);
+    if (request.head.framing != body_framing::none || !request.body.empty()) {
+        append_header(bytes, "Content-Length", std::to_string(request.body.size()));
+    }
+    bytes += "\r\n";
+    bytes += request.body;
+    return bytes;
+}
+
+task<attempt_end> call_attempt::read_answer()
+{
+    auto progress = co_await connection_->read_head(context_.dialect.attempt_id, order_.id);
+    if (progress == read_progress::broken) {
+        co_return attempt_end::broken;
+    }
+    const auto verdict = judge_head();
+    while (progress == read_progress::more) {
+        progress = co_await connection_->read_body(answer_.body);
+        if (verdict == attempt_end::answered && answer_.body.size() > keep_whole_bytes) {
+            const auto end = co_await stream_answer();
+            co_return end;
+        }
+    }
+    if (progress == read_progress::broken && verdict == attempt_end::answered) {
+        co_return attempt_end::broken;
+    }
+    co_return verdict;
+}
+
+/** What the head says; takes over what is passed on. */
+attempt_end call_attempt::judge_head()
+{
+    auto& head = connection_->head();
+    const auto& dialect = context_.dialect;
+    context_.prober.learn(*picked_.target, head.headers, boot_clock::now());
+    if (head.status == status_misdirected) {
+        return attempt_end::misdirected;
+    }
+    if (head.headers.find(dialect.not_executed)) {
+        return attempt_end::not_executed;
+    }
+    const auto echoed = head.headers.find(dialect.attempt_id);
+    const bool signed_answer = head.headers.find(dialect.signature).has_value();
+    const bool spoiled = head.headers.find("content-encoding") ||
+                         (is_success(head.status) && (!signed_answer || !echoed));
+    if (spoiled) {
+        return attempt_end::broken;
+    }
+    answer_.status = head.status;
+    answer_.headers = head.headers;
+    return attempt_end::answered;
+}
+
+/** Passes a large answer on as it comes, no faster than the caller reads. */
+task<attempt_end> call_attempt::stream_answer()
+{
+    end_ = attempt_end::streamed;
+    changed_->notify();
+    co_await may_stream_->wait_for(order_.deadline - boot_clock::now());
+    const auto& exchange = order_.exchange;
+    exchange->on_abandoned([self = shared_from_this()] { self->cancel(); });
+    const auto& head = connection_->head();
+    exchange->begin(answer_, head.framing, head.body_length);
+    exchange->append(std::exchange(answer_.body, {}));
+    auto progress = read_progress::more;
+    while (progress == read_progress::more && !exchange->abandoned()) {
+        std::string piece;
+        progress = co_await connection_->read_body(piece);
+        exchange->append(piece);
+        while (exchange->backlogged() && boot_clock::now() < order_.deadline) {
+            co_await sleep_for(backlog_pause);
+        }
+    }
+    if (progress == read_progress::complete) {
+        exchange->finish();
+    }
+    else if (!exchange->abandoned()) {
+        exchange->break_off();
+    }
+    co_return attempt_end::streamed;
+}
+
+/** Gives the slot and the connection back and learns from the end. */
+void call_attempt::settle(attempt_end end)
+{
+    auto& target = *picked_.target;
+    const auto now = boot_clock::now();
+    end_ = end;
+    release_slot(target);
+    context_.measured.attempt_ended(order_.service, end);
+    const bool whole = end == attempt_end::answered || end == attempt_end::not_executed ||
+                       end == attempt_end::misdirected || end == attempt_end::streamed;
+    if (connection_ && whole) {
+        context_.pool.put_back(target, connection_, now);
+    }
+    else if (connection_) {
+        connection_->close();
+    }
+    switch (end) {
+    case attempt_end::answered:
+        answer_.status >= first_failure_status ? target.failures.failed(now)
+                                               : target.failures.succeeded(now);
+        break;
+    case attempt_end::broken:
+        target.failures.failed(now);
+        break;
+    case attempt_end::not_sent:
+        target.failures.went_silent(now);
+        break;
+    case attempt_end::misdirected:
+        context_.registry.disown(target);
+        log_event(event::upstream_replaced,
+                  {{"upstream", target.entry.id}, {"service", target.entry.service}});
+        break;
+    default:
+        break;
+    }
+    if (end == attempt_end::answered && is_success(answer_.status)) {
+        const std::chrono::duration<double, std::milli> took = now - started_;
+        context_.estimates.learn(*order_.where, took.count(), picked_.slowness,
+                                 static_cast<double>(answer_.body.size()));
+    }
+}
+
+} // namespace sniperock
--- /dev/null
+++ b/src/call_context.hpp
@@ -0,0 +1,61 @@
+/** @file call_context.hpp What all calls of a process share. */
+#pragma once
+
+#include "call_metrics.hpp"
+#include "choice_estimate.hpp"
+#include "choice_policy.hpp"
+#include "cold_limit.hpp"
+#include "fleet_share.hpp"
+#include "random_type.hpp"
+#include "retry_budget.hpp"
+#include "route_split.hpp"
+#include "route_table.hpp"
+#include "settings_type.hpp"
+#include "upstream_pool.hpp"
+#include "upstream_probe.hpp"
+#include "upstream_registry.hpp"
+#include "wire_dialect.hpp"
+
+#include <asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sniperock {
+
+/** The parts that calls use; they outlive every call. Used by one io thread. */
+struct call_context {
+    asio::io_context& io;
+    const entry_settings& settings;
+    const wire_dialect& dialect;
+    route_holder& routes;
+    upstream_registry& registry;
+    upstream_pool& pool;
+    upstream_prober& prober;
+    choice_policy& policy;
+    call_metrics& measured;
+    random_engine& random;
+    route_splitter splitter;
+    choice_estimates estimates;
+    /** The fleet as heartbeats show it; refreshed every second. */
+    fleet_view fleet;
+    std::map<std::string, retry_budget, std::less<>> budgets;
+    local_time started = boot_clock::now();
+
+    /** The budget of a service's repeats. */
+    retry_budget& budget_of(const std::string& service)
+    {
+        const retry_bounds bounds{settings.retry_ratio, static_cast<double>(settings.retry_slack),
+                                  settings.retry_window};
+        return budgets.try_emplace(service, bounds, started).first->second;
+    }
+    /** What cold upstreams of a service bear. */
+    [[nodiscard]] cold_bounds cold_bounds_of(const service_config* service) const
+    {
+        return {service == nullptr ? 0 : service->cold_rate, settings.cold_overshoot,
+                settings.cold_slack};
+    }
+};
+
+} // namespace sniperock
--- /dev/null
+++ b/src/call_log.hpp
@@ -0,0 +1,34 @@
+/** @file call_log.hpp Log lines about calls. */
+#pragma once
+
+#include "call_attempt.hpp"
+#include "call_type.hpp"
+#include "settings_type.hpp"
+
+#include <string>
+
+namespace sniperock {
+
+/** What is logged when a call ends. */
+struct call_summary {
+    const std::string& id;
+    /** Null if no route matched. */
+    const route* where;
+    const std::string& service;
+    call_end end;
+    int status;
+    int sends;
+    int runs;
+    milliseconds took;
+};
+
+/**
+ * Logs the end of a call. One that went well is logged for a share of the ids, the same on every
+ * VM; any other is logged always, up to a rate.
+ */
+void log_call(const call_summary& summary, const entry_settings& settings);
+
+/** Logs an attempt that did not bring the answer. */
+void log_attempt(const std::string& id, const std::string& service, const call_attempt& attempt);
+
+} // namespace sniperock
--- /dev/null
+++ b/src/call_picker.cpp
@@ -0,0 +1,204 @@
+/** @file call_picker.cpp Finds the upstream for a request and waits for a free slot. */
+#include "call_picker.hpp"
+
+#include <algorithm>
+#include <ranges>
+
+namespace sniperock {
+namespace {
+
+/** Pause before upstreams are probed again while none has a free slot, with jitter. */
+constexpr milliseconds shortest_pause{6};
+constexpr milliseconds longest_pause{14};
+/** A report of a busy moment says nothing any more after so long. */
+constexpr milliseconds report_life{100};
+
+/** One search for an upstream. */
+class search {
+public:
+    search(call_context& context, pick_request& request) : context_(context), request_(request) {}
+
+    task<pick_result> run(std::shared_ptr<const bool> cancelled)
+    {
+        for (;;) {
+            const auto all = candidates();
+            if (all.empty()) {
+                co_return pick_result{std::nullopt, pick_failure::no_upstream};
+            }
+            auto picked = co_await look(all);
+            if (picked || *cancelled) {
+                co_return pick_result{std::move(picked), pick_failure::none};
+            }
+            if (boot_clock::now() >= request_.wait_until) {
+                co_return pick_result{std::nullopt, pick_failure::no_slot};
+            }
+            std::uniform_int_distribution<std::int64_t> pause{shortest_pause.count(),
+                                                              longest_pause.count()};
+            co_await sleep_for(milliseconds{pause(context_.random)});
+            if (*cancelled) {
+                co_return pick_result{};
+            }
+        }
+    }
+
+private:
+    /** Upstreams that may be used; those that are known to be of no use only if there are no
+     * others. */
+    std::vector<candidate> candidates()
+    {
+        const auto now = boot_clock::now();
+        std::vector<candidate> good;
+        std::vector<candidate> doubtful;
+        for (const auto& item : context_.registry.of_service(request_.service)) {
+            if (!context_.registry.usable(*item) || request_.tried.contains(item->entry.id)) {
+                continue;
+            }
+            const bool near = item->entry.failure_domain == context_.settings.failure_domain;
+            const bool doubted = item->unwell || item->failures.silent(now);
+            (doubted ? doubtful : good).push_back({item.get(), near, false});
+            kept_[item.get()] = item;
+        }
+        // Doubtful ones are looked at now and then, or nobody would notice that they are back.
+        std::uniform_int_distribution<> dice{1, doubtful_odds};
+        if (good.empty() || dice(context_.random) == 1) {
+            good.insert(good.end(), doubtful.begin(), doubtful.end());
+        }
+        return good;
+    }
+
+    /** Looks at some candidates. @return the one that takes the request, if any can. */
+    task<std::optional<picked_upstream>> look(const std::vector<candidate>& all)
+    {
+        auto sample =
+            context_.policy.sample(all, static_cast<std::size_t>(context_.settings.probe_count),
+                                   request_.estimate, context_.random, boot_clock::now());
+        const auto round = std::make_shared<probe_round>(context_.io.get_executor());
+        if (context_.policy.probes()) {
+            co_await probe(round, sample);
+        }
+        auto picked = choose(sample);
+        round->closed = true;
+        const auto now = boot_clock::now();
+        for (const auto& answer : round->answers) {
+            if (picked && answer.target == picked->target) {
+                picked->connection = answer.connection;
+            }
+            else {
+                context_.pool.put_back(*answer.target, answer.connection, now);
+            }
+        }
+        co_return picked;
+    }
+
+    /** Asks the candidates that have no fresh report and waits for enough answers. */
+    task<> probe(std::shared_ptr<probe_round> round, std::vector<candidate>& sample)
+    {
+        const auto* service = context_.routes.table()->find_service(request_.service);
+        const std::string health_path = service == nullptr ? "/healthz" : service->health_path;
+        const auto begin = boot_clock::now();
+        fresh_since_ = begin - context_.settings.probe_fresh;
+        refresh(sample);
+        for (auto& what : sample) {
+            if (!what.fresh && may_probe(*what.item, begin)) {
+                context_.prober.start(round, kept_[what.item], health_path);
+            }
+        }
+        const auto until = begin + context_.settings.probe_timeout;
+        while (round->pending > 0 && boot_clock::now() < until && !found_ideal(sample)) {
+            co_await round->changed.wait_for(until - boot_clock::now());
+            refresh(sample);
+        }
+        refresh(sample);
+    }
+
+    void refresh(std::vector<candidate>& sample) const
+    {
+        for (auto& what : sample) {
+            what.fresh = what.item->report && what.item->reported_at >= fresh_since_;
+        }
+    }
+
+    bool may_probe(upstream& item, local_time now) const
+    {
+        const auto vms = std::max<std::size_t>(context_.fleet.members.size(), 1);
+        const auto rate = static_cast<std::size_t>(context_.settings.probe_rate) / vms;
+        return item.probes.count(now) < std::max<std::size_t>(rate, 1);
+    }
+
+    [[nodiscard]] bool found_ideal(const std::vector<candidate>& sample) const
+    {
+        const auto now = boot_clock::now();
+        return std::ranges::any_of(sample, [&](const candidate& what) {
+            return !what.item->unwell && has_free_slot(*what.item) &&
+                   is_ideal(what, request_.estimate, now);
+        });
+    }
+
+    /** The best candidate that can take the request; its slot is counted as used. */
+    std::optional<picked_upstream> choose(std::vector<candidate>& sample)
+    {
+        const auto now = boot_clock::now();
+        std::erase_if(sample, [&](const candidate& what) { return !can_take(what, now); });
+        if (sample.empty()) {
+            return std::nullopt;
+        }
+        const auto best = std::ranges::min_element(sample, {}, [&](const candidate& what) {
+            return context_.policy.rank(what, request_.estimate, now);
+        });
+        auto& item = *best->item;
+        const double slowness = item.report && best->fresh ? item.report->slowness : 1;
+        ++item.in_flight;
+        ++item.sent_since_report;
+        if (is_cold(item, now)) {
+            item.cold_sends.add(now);
+        }
+        return picked_upstream{kept_[best->item], nullptr, slowness};
+    }
+
+    bool can_take(const candidate& what, local_time now)
+    {
+        auto& item = *what.item;
+        if (!context_.registry.usable(item)) {
+            return false;
+        }
+        const auto* service = context_.routes.table()->find_service(request_.service);
+        const bool cold = is_cold(item, now);
+        if (cold && !cold_allows(item, context_.cold_bounds_of(service), context_.fleet, now)) {
+            context_.measured.cold_denied.Increment();
+            return false;
+        }
+        if (!context_.policy.probes()) {
+            return true;
+        }
+        const bool report_holds = item.report && now - item.reported_at < report_life;
+        return report_holds ? has_free_slot(item) : item.in_flight < item.entry.slots;
+    }
+
+    static constexpr int doubtful_odds = 8;
+
+    call_context& context_;
+    pick_request& request_;
+    /** Reports that came since then are fresh. */
+    local_time fresh_since_;
+    /** Keeps the candidates alive while the search waits. */
+    std::map<upstream*, upstream_ptr> kept_;
+};
+
+} // namespace
+
+void release_slot(upstream& item)
+{
+    if (item.in_flight > 0) {
+        --item.in_flight;
+    }
+}
+
+task<pick_result> pick_upstream(call_context& context, pick_request request,
+                                std::shared_ptr<const bool> cancelled)
+{
+    search run(context, request);
+    auto result = co_await run.run(std::move(cancelled));
+    co_return result;
+}
+
+} // namespace sniperock
--- /dev/null
+++ b/src/call_type.hpp
@@ -0,0 +1,92 @@
+/** @file call_type.hpp How calls and attempts end. */
+#pragma once
+
+#include "enum_table.hpp"
+
+#include <array>
+
+namespace sniperock {
+
+/** How an attempt at an upstream ended. */
+enum class attempt_end {
+    /** The upstream's answer is whole. */
+    answered,
+    /** The answer is being passed on in pieces; the attempt sees to its end. */
+    streamed,
+    /** The upstream said that it did not run the request. */
+    not_executed,
+    /** The upstream at this address is another one. */
+    misdirected,
+    /** No byte of the request was sent. */
+    not_sent,
+    /** The connection ended or broke, or what came is not an answer: it may have run. */
+    broken,
+    /** The call ended first. */
+    cancelled,
+};
+
+template <>
+inline constexpr std::array enum_names<attempt_end>{
+    enum_name<attempt_end>{attempt_end::answered, "answered"},
+    enum_name<attempt_end>{attempt_end::streamed, "streamed"},
+    enum_name<attempt_end>{attempt_end::not_executed, "not-executed"},
+    enum_name<attempt_end>{attempt_end::misdirected, "misdirected"},
+    enum_name<attempt_end>{attempt_end::not_sent, "not-sent"},
+    enum_name<attempt_end>{attempt_end::broken, "broken"},
+    enum_name<attempt_end>{attempt_end::cancelled, "cancelled"},
+};
+
+/** How a call ended. */
+enum class call_end {
+    /** An upstream's answer was passed on. */
+    answered,
+    /** No route matches. */
+    no_route,
+    /** No configuration is known yet. */
+    no_configuration,
+    /** No upstream may be used. */
+    no_upstream,
+    /** No upstream has a free slot. */
+    no_slot,
+    /** Upstreams refused it, or it was never sent; it did not run. */
+    not_run,
+    /** It may have run; no answer came. */
+    failed,
+    /** The time was up; it may have run. */
+    timed_out,
+    /** The time was up before it was sent. */
+    expired,
+    /** The caller left. */
+    abandoned,
+};
+
+template <>
+inline constexpr std::array enum_names<call_end>{
+    enum_name<call_end>{call_end::answered, "answered"},
+    enum_name<call_end>{call_end::no_route, "no-route"},
+    enum_name<call_end>{call_end::no_configuration, "no-configuration"},
+    enum_name<call_end>{call_end::no_upstream, "no-upstream"},
+    enum_name<call_end>{call_end::no_slot, "no-slot"},
+    enum_name<call_end>{call_end::not_run, "not-run"},
+    enum_name<call_end>{call_end::failed, "failed"},
+    enum_name<call_end>{call_end::timed_out, "timed-out"},
+    enum_name<call_end>{call_end::expired, "expired"},
+    enum_name<call_end>{call_end::abandoned, "abandoned"},
+};
+
+/** The status of an answer of the VM's own; 503 promises that the request did not run. */
+constexpr int status_of(call_end end)
+{
+    switch (end) {
+    case call_end::no_route:
+        return 404;
+    case call_end::failed:
+        return 502;
+    case call_end::timed_out:
+        return 504;
+    default:
+        return 503;
+    }
+}
+
+} // namespace sniperock
--- /dev/null
+++ b/src/caller_server.cpp
@@ -0,0 +1,105 @@
+/** @file caller_server.cpp Listens on one port and runs a session for each connection. */
+#include "caller_server.hpp"
+
+#include "error_type.hpp"
+
+#include <algorithm>
+
+namespace sniperock {
+namespace {
+
+/** Pause before the next accept when the process is out of descriptors. */
+constexpr milliseconds accept_pause{50};
+
+} // namespace
+
+caller_server::caller_server(asio::io_context& io, session_shared shared,
+                             std::size_t max_connections)
+    : io_(io), shared_(std::move(shared)), max_connections_(max_connections), acceptor_(io),
+      pause_(io)
+{
+}
+
+void caller_server::listen(const asio::ip::tcp::endpoint& endpoint)
+{
+    try {
+        acceptor_.open(endpoint.protocol());
+        acceptor_.set_option(asio::socket_base::reuse_address(true));
+        acceptor_.bind(endpoint);
+        acceptor_.listen();
+    }
+    catch (const std::system_error& fault) {
+        throw listen_failed(endpoint.address().to_string() + ":" + std::to_string(endpoint.port()),
+                            fault.code().message());
+    }
+    accept_next();
+}
+
+void caller_server::accept_next()
+{
+    acceptor_.async_accept(
+        io_.get_executor(), [this](const asio::error_code& error, tcp_socket socket) {
+            if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
+                return;
+            }
+            if (!error) {
+                adopt(std::move(socket));
+                accept_next();
+                return;
+            }
+            pause_.expires_after(accept_pause);
+            pause_.async_wait([this](const asio::error_code& stopped) {
+                if (!stopped) {
+                    accept_next();
+                }
+            });
+        });
+}
+
+void caller_server::adopt(tcp_socket socket)
+{
+    if (sessions_.size() >= max_connections_) {
+        return;
+    }
+    net_stream stream(std::move(socket));
+    asio::error_code error;
+    stream.prepare(error);
+    if (error) {
+        return;
+    }
+    sessions_.push_back(std::make_shared<caller_session>(std::move(stream), shared_));
+    sessions_.back()->start();
+}
+
+void caller_server::stop_accepting()
+{
+    asio::error_code ignored;
+    acceptor_.close(ignored);
+}
+
+void caller_server::close_idle()
+{
+    const auto all = sessions_;
+    std::ranges::for_each(all, [](const auto& session) { session->close_if_idle(); });
+}
+
+void caller_server::close_all()
+{
+    const auto all = std::exchange(sessions_, {});
+    std::ranges::for_each(all, [](const auto& session) { session->close(); });
+}
+
+void caller_server::sweep(local_time now)
+{
+    const auto all = sessions_;
+    std::ranges::for_each(all, [now](const auto& session) { session->close_if_late(now); });
+    std::erase_if(sessions_, [](const auto& session) { return session->closed(); });
+}
+
+std::size_t caller_server::busy() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(sessions_, [](const auto& session) { return session->busy(); }));
+}
+
+} // namespace sniperock
--- a/src/cli_commands.cpp
+++ b/src/cli_commands.cpp
@@ -1,9 +1,10 @@
 /** @file cli_commands.cpp The subcommands that run processes and print tables. */
 #include "cli_func.hpp"
 #include "cli_options.hpp"
-#include "cli_signal.hpp"
 #include "entry_node.hpp"
 #include "event_type.hpp"
+#include "platform_dialect.hpp"
+#include "platform_schema.hpp"
 #include "settings_func.hpp"
 
 #include <iostream>
@@ -21,11 +22,30 @@
     if (!given) {
         return exit_code::success;
     }
-    entry_node node(load_settings((*given)["settings"].as<std::string>()));
-    node.start();
-    wait_for_signal();
-    node.leave();
-    node.stop();
+    const auto path = (*given)["settings"].as<std::string>();
+    auto settings = load_settings(path);
+    set_up_log({settings.vm_name, static_cast<std::size_t>(settings.log_buffer),
+                static_cast<std::size_t>(settings.log_rate)});
+    {
+        entry_node node(std::move(settings), {platform::dialect(), platform::schema()},
+                        [path] { return load_settings(path); });
+        node.start();
+        node.run();
+    }
+    close_log();
+    return exit_code::success;
+}
+
+int run_check(const arguments& args)
+{
+    po::options_description options("sniperock check --settings FILE: reports every fault");
+    options.add_options()("settings", po::value<std::string>()->required(), "INI file");
+    const auto given = parse_options(options, args);
+    if (!given) {
+        return exit_code::success;
+    }
+    load_settings((*given)["settings"].as<std::string>());
+    std::cout << "no findings\n";
     return exit_code::success;
 }
 
@@ -49,7 +69,8 @@
     return exit_code::success;
 }
 
-const subcommand_registration entry_command("entry", "run one entry vm's process", run_entry);
+const subcommand_registration entry_command("entry", "run one entry VM's process", run_entry);
+const subcommand_registration check_command("check", "check a settings file", run_check);
 const subcommand_registration settings_command("settings", "list every setting", run_settings);
 const subcommand_registration events_command("events", "print the catalogue of events", run_events);
 
--- a/src/config_type.hpp
+++ b/src/config_type.hpp
@@ -1,105 +1,95 @@
-/** @file config_type.hpp The operators' lists as plain values. */
+/** @file config_type.hpp One version of the operators' configuration as plain values. */
 #pragma once
 
+#include "clock_type.hpp"
 #include "enum_table.hpp"
 #include "strong_id.hpp"
 
 #include <array>
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace sniperock {
 
-/** A customer's plan. */
-struct plan {
-    std::string name;
-    /** SHA-256 of each accepted key, in lower-case hex; the keys themselves are never stored. */
-    std::vector<std::string> key_hashes;
+/** What the operator says about repeating a route's requests. */
+enum class request_kind {
+    /** May run more than once. */
+    idempotent,
+    /** May run once at most for each attempt of a client. */
+    non_idempotent,
+    /** A large answer; may run more than once. */
+    download,
 };
 
-/** What one plan may use of one service. */
-struct allowance {
-    std::string plan;
-    std::string service;
-    /** Share of the service under contention, against the other plans' weights; from 1. */
-    std::uint32_t weight = 1;
-    /** Calls in flight over the whole system; 0 is unlimited. */
-    std::uint32_t max_in_flight = 0;
-    /** Calls a second over the whole system; 0 is unlimited. */
-    std::uint32_t max_rate = 0;
+template <>
+inline constexpr std::array enum_names<request_kind>{
+    enum_name<request_kind>{request_kind::idempotent, "idempotent"},
+    enum_name<request_kind>{request_kind::non_idempotent, "non_idempotent"},
+    enum_name<request_kind>{request_kind::download, "download"},
 };
 
-/** One server, an instance of a service. */
-struct server_entry {
-    /** Unique within its service. */
-    std::string name;
-    std::string address;
-    std::uint16_t port = 0;
-    std::string failure_domain;
-    /** Calls that it runs at a time when warm; from 1. */
-    std::uint32_t slots = 1;
-    /** Calls that it bears at a time while cold; from 1. */
-    std::uint32_t cold_slots = 1;
-};
+/** True if a request of @p kind may be sent to a second upstream after it may have run. */
+constexpr bool is_repeatable(request_kind kind)
+{
+    return kind != request_kind::non_idempotent;
+}
 
-/** A service and its servers. */
-struct service_entry {
-    std::string name;
-    /** Host names that lead to it. */
-    std::vector<std::string> hosts;
-    /** Path prefix that leads to it, where the host decides nothing; may be empty. */
-    std::string path_prefix;
-    /** Active probes a second over all its servers and all entry vms. */
-    std::uint32_t probe_rate = 1;
-    std::vector<server_entry> servers;
-};
+/** A service that takes a share of a route's requests. */
+struct route_part {
+    std::string service;
+    /** Share relative to the other parts; above 0. */
+    double weight = 1;
 
-/** What operators have taken out of service. */
-struct availability {
-    std::set<std::string> domains_out;
-    std::set<std::string> vms_out;
+    friend bool operator==(const route_part&, const route_part&) = default;
 };
 
-/** What a key of the administration API may do; each role includes those before it. */
-enum class admin_role { read, operate, administer };
-
-template <>
-inline constexpr std::array enum_names<admin_role>{
-    enum_name<admin_role>{admin_role::read, "read"},
-    enum_name<admin_role>{admin_role::operate, "operate"},
-    enum_name<admin_role>{admin_role::administer, "administer"},
+/** Where requests of one host and path prefix go, and how they are treated. */
+struct route {
+    std::string name;
+    std::string host;
+    /** Begins and ends with a slash. */
+    std::string path_prefix;
+    request_kind kind = request_kind::non_idempotent;
+    /** Longest time a request is kept waiting; 0 if only its own deadline counts. */
+    milliseconds timeout{0};
+    /** An answer within this time has its full worth. */
+    milliseconds target_latency{1000};
+    /** Rank among the routes; 0 is the most urgent. */
+    int priority = 0;
+    /** Most upstreams on which one attempt of a client may run. */
+    int max_attempts = 1;
+    /** At least one. */
+    std::vector<route_part> parts;
 };
 
-/** An operator, known by keys. */
-struct admin_entry {
+/** What the operator says about a service's upstreams. */
+struct service_config {
     std::string name;
-    admin_role role = admin_role::read;
-    /** SHA-256 of each accepted key, in lower-case hex; several during a rotation. */
-    std::vector<std::string> key_hashes;
+    std::string health_path = "/healthz";
+    /** Connections that an upstream accepts from all callers together. */
+    std::int64_t max_connections = 0;
+    /** How long an upstream is cold after its start. */
+    milliseconds cold_time{0};
+    /** Requests a second that a cold upstream bears; 0 if not stated. */
+    double cold_rate = 0;
 };
 
-/** One accepted revision of the whole configuration; never changed once made. */
-struct config_snapshot {
-    config_revision revision;
-    std::vector<plan> plans;
-    std::vector<allowance> allowances;
-    std::vector<service_entry> services;
-    /** In force: recorded changes and those not recorded yet. */
-    availability out;
-    std::vector<admin_entry> admins;
-    /** Number of changes in @ref out that the store does not hold yet. */
-    std::size_t unrecorded = 0;
+/** Limits of what callers may send. */
+struct caller_limits {
+    std::int64_t max_header_bytes = 16'384;
+    std::int64_t max_body_bytes = 1'048'576;
+    milliseconds header_timeout{10'000};
+    milliseconds idle_timeout{60'000};
 };
 
-/** Names one server in the whole system: service and server name. */
-struct server_key {
-    std::string service;
-    std::string server;
-
-    friend auto operator<=>(const server_key&, const server_key&) = default;
+/** One version of the whole configuration. */
+struct configuration {
+    config_version version;
+    std::vector<route> routes;
+    std::map<std::string, service_config, std::less<>> services;
+    caller_limits limits;
 };
 
 } // namespace sniperock
--- /dev/null
+++ b/src/directory.cpp
@@ -0,0 +1,39 @@
+/** @file directory.cpp Which VMs callers are told to connect to. */
+#include "directory.hpp"
+
+#include <algorithm>
+
+namespace sniperock {
+namespace {
+
+/** With fewer VMs than this in its failure domain, a caller is told of all. */
+constexpr std::size_t enough_near = 2;
+/** Addresses that an answer may hold. */
+constexpr std::size_t most_addresses = 64;
+
+} // namespace
+
+std::vector<std::string> directory_addresses(const std::vector<member_entry>& members,
+                                             std::string_view failure_domain,
+                                             const std::string& self)
+{
+    std::vector<std::string> all;
+    std::vector<std::string> near;
+    for (const auto& member : members) {
+        if (member.state != member_state::ready) {
+            continue;
+        }
+        all.push_back(member.address);
+        if (member.failure_domain == failure_domain) {
+            near.push_back(member.address);
+        }
+    }
+    auto& answer = near.size() >= enough_near ? near : all;
+    if (answer.empty()) {
+        answer.push_back(self);
+    }
+    answer.resize(std::min(answer.size(), most_addresses));
+    return answer;
+}
+
+} // namespace sniperock
--- /dev/null
+++ b/src/directory.hpp
@@ -0,0 +1,22 @@
+/** @file directory.hpp Which VMs callers are told to connect to. */
+#pragma once
+
+#include "member_table.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sniperock {
+
+/**
+ * Addresses for a caller in @p failure_domain: the ready VMs of its own failure domain while there
+ * are enough of them to lose one, otherwise all ready ones; this VM's own if none is ready.
+ * @param members the living VMs.
+ * @param self address of this VM.
+ */
+std::vector<std::string> directory_addresses(const std::vector<member_entry>& members,
+                                             std::string_view failure_domain,
+                                             const std::string& self);
+
+} // namespace sniperock
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -1,239 +1,392 @@
-/** @file entry_node.cpp Wires the parts of an entry vm together. */
+/** @file entry_node.cpp One entry VM's process: all parts and how they are wired. */
 #include "entry_node.hpp"
-#include "dispatch.hpp"
-#include "edge_server.hpp"
-#include "entry_config.hpp"
-#include "entry_ownership.hpp"
-#include "entry_schedule.hpp"
+
+#include "call.hpp"
+#include "caller_server.hpp"
+#include "directory.hpp"
+#include "entry_settings_func.hpp"
 #include "event_type.hpp"
-#include "finding_type.hpp"
-#include "locate.hpp"
-#include "member_incarnation.hpp"
-#include "metrics.hpp"
-#include "page_server.hpp"
-#include "peer_keys.hpp"
-#include "peer_link.hpp"
-#include "random_type.hpp"
+#include "member_gossip.hpp"
 #include "store_client.hpp"
+#include "store_sync.hpp"
+
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
 
 #include <algorithm>
-#include <mutex>
+#include <csignal>
+#include <fstream>
 
 namespace sniperock {
 namespace {
 
-edge_limits make_edge_limits(const entry_settings& settings)
-{
-    edge_limits limits;
-    limits.address = settings.caller_address;
-    limits.port = static_cast<std::uint16_t>(settings.caller_port);
-    limits.threads = static_cast<std::size_t>(settings.threads);
-    limits.max_connections = static_cast<std::size_t>(settings.max_connections);
-    limits.max_header_bytes = static_cast<std::size_t>(settings.max_header_bytes);
-    limits.header_timeout = settings.header_timeout;
-    limits.idle_timeout = settings.idle_timeout;
-    limits.default_deadline = settings.default_deadline;
-    limits.max_deadline = settings.ownership_permit_life;
-    return limits;
-}
+/** How often time limits are looked at. */
+constexpr milliseconds tick_period{100};
+/** A tick that comes later than this shows that the process stood still. */
+constexpr milliseconds stand_still_limit{1000};
+/** How often the settings file is read again: a change need not be told by a signal. */
+constexpr milliseconds reload_period{1000};
+/** A VM knows the fleet well enough for its shares after so long. */
+constexpr milliseconds settle_time{2500};
+/** A leaving VM takes new connections for this part of the stop limit: callers keep directory
+ * answers for some seconds. */
+constexpr double accept_part = 0.75;
+/** Connections of the pages; callers ask the directory on short connections. */
+constexpr std::size_t max_page_connections = 1000;
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
 
-/** The incarnation of a process that starts now, above any that the platform's list shows. */
-incarnation choose_incarnation(const std::string& vm, store_client& store)
+member_entry describe_self(const entry_settings& settings, std::uint64_t life)
 {
-    std::vector<vm_record> listed;
-    try {
-        listed = store.list_vms();
-    }
-    catch (const store_unavailable&) {
-        // The wall clock alone decides.
-        listed.clear();
-    }
-    return new_incarnation(vm, listed, system_clock_source::wall_now(), random_seed());
+    return {address_of(settings.callers_listen),
+            settings.vm_name,
+            settings.failure_domain,
+            {life},
+            0,
+            member_state::starting};
 }
 
-/** The keys of the key file. Without a file any process of this host's network may join, which
- * only peers.insecure allows. */
-peer_keys choose_keys(const entry_settings& settings)
+/** Number of this life of the process: the wall time with a random end. */
+std::uint64_t draw_life(random_engine& random)
 {
-    if (!settings.peer_key_file.empty()) {
-        return load_peer_keys(settings.peer_key_file);
-    }
-    if (settings.peers_insecure == 0) {
-        throw invalid_input({{"settings", 0, "peers.key_file",
-                              "is required, unless peers.insecure = 1 lets anyone join"}});
-    }
-    return peer_keys(std::vector<peer_key>{{"insecure", "insecure"}});
+    constexpr unsigned random_bits = 10;
+    const auto wall = static_cast<std::uint64_t>(to_unix_us(system_clock_source::wall_now()));
+    return (wall << random_bits) | (random() & ((1U << random_bits) - 1));
 }
 
 } // namespace
 
-/** The parts and the threads that feed them. */
+/** The parts of the process, in the order of their dependencies. */
 struct entry_node::impl {
-    explicit impl(entry_settings with)
-        : settings(std::move(with)),
-          store(settings.store_address, static_cast<int>(settings.store_port),
-                settings.store_timeout),
-          life(choose_incarnation(settings.vm_name, store)),
-          link({settings.vm_name, life}, choose_keys(settings)),
-          slots({{settings.vm_name, life}, settings.failure_domain},
-                {static_cast<std::size_t>(settings.queue_limit), settings.policy, random_seed()},
-                send_through(link), &measured),
-          schedule(slots, link, measured), locator(settings.locate_keep, random_seed()),
-          edge(make_edge_limits(settings), slots, routers, locator, counters, measured),
-          pages(settings.admin_address, static_cast<int>(settings.admin_port)),
-          configuration(settings, link, measured),
-          ownership(settings, life, slots, link, measured,
-                    {[this](const auto& records) { configuration.set_vms(records); },
-                     [this](auto entries) { locator.set_entries(std::move(entries)); }})
-    {
-        routers.set(std::make_shared<const edge_router>(std::make_shared<config_snapshot>()));
-        configuration.subscribe([this](const auto& snapshot) { apply_config(snapshot); });
-        configuration.mount(pages.server());
+    impl(entry_settings with, entry_adapter with_adapter, std::function<entry_settings()> reload)
+        : settings(std::move(with)), adapter(with_adapter), read_settings(std::move(reload)),
+          random(random_seed()), call_measures(measured), registry(settings.store_return_grace),
+          pool(io, measured), prober(io, pool, adapter.dialect, measured),
+          policy(choice_policies::instance().make(settings.policy)), calls{io,
+                                                                           settings,
+                                                                           adapter.dialect,
+                                                                           routes,
+                                                                           registry,
+                                                                           pool,
+                                                                           prober,
+                                                                           *policy,
+                                                                           call_measures,
+                                                                           random,
+                                                                           route_splitter{random},
+                                                                           {},
+                                                                           {},
+                                                                           {}},
+          members(describe_self(settings, draw_life(random)), settings.member_silence),
+          gossip(io, members, settings.member_heartbeat, random),
+          store(io, endpoint_of(settings.store_address), settings.store_timeout, measured),
+          applier(adapter.schema, routes, registry, [this] { config_changed(); }),
+          sync(io, store, adapter.schema, settings, applier, registry, random),
+          callers(io, callers_shared(), static_cast<std::size_t>(settings.max_connections)),
+          ready_page(io, page_shared([this](const auto& item) { answer_ready(item); }),
+                     max_page_connections),
+          directory_page(io, page_shared([this](const auto& item) { answer_directory(item); }),
+                         max_page_connections),
+          metrics_page(io, page_shared([this](const auto& item) { answer_metrics(item); }),
+                       max_page_connections),
+          signals(io), tick_timer(io)
+    {
+    }
+
+    session_shared callers_shared()
+    {
+        session_shared shared;
+        shared.handle = [this](const exchange_ptr& item) {
+            start_task(io.get_executor(), call::run(std::make_shared<call>(calls, item)));
+        };
+        shared.max_body_memory = static_cast<std::size_t>(settings.body_memory);
+        shared.id_header = adapter.dialect.attempt_id;
+        return shared;
+    }
+
+    static session_shared page_shared(std::function<void(const exchange_ptr&)> handle)
+    {
+        session_shared shared;
+        shared.handle = std::move(handle);
+        return shared;
     }
 
     void start()
     {
-        edge.start();
-        schedule.start();
-        link.start(settings.peer_address, static_cast<int>(settings.peer_port));
-        pages.start([this] { return status_json(); }, [this] { return healthy(); },
-                    [this] { return measured.text(); });
-        self = {settings.vm_name,
-                settings.failure_domain,
-                settings.peer_address + ":" + std::to_string(link.port()),
-                settings.caller_address + ":" + std::to_string(edge.port()),
-                settings.admin_address + ":" + std::to_string(pages.port()),
-                life.value,
-                vm_state::live};
-        ownership.start(self);
-        configuration.start();
-        log_event(event::entry_started, {{"vm", settings.vm_name},
-                                         {"callers", self.caller_endpoint},
-                                         {"admin", self.admin_endpoint}});
+        const auto address = endpoint_of(settings.callers_listen).address();
+        callers.listen(endpoint_of(settings.callers_listen));
+        ready_page.listen(endpoint_of(settings.ready_listen));
+        directory_page.listen(endpoint_of(settings.directory_listen));
+        metrics_page.listen({address, static_cast<std::uint16_t>(settings.metrics_port)});
+        gossip.open(address.to_string(), static_cast<std::uint16_t>(settings.peer_port));
+        gossip.set_seeds(seed_addresses(settings));
+        start_task(io.get_executor(), gossip.send_heartbeats());
+        start_task(io.get_executor(), gossip.receive_heartbeats());
+        sync.start();
+        start_task(io.get_executor(), sync.register_vm(gossip));
+        signals.add(SIGTERM);
+        signals.add(SIGINT);
+        signals.add(SIGHUP);
+        await_signal();
+        last_tick = boot_clock::now();
+        next_reload = last_tick + reload_period;
+        tick();
+        log_event(event::entry_started, {{"version", SNIPEROCK_VERSION},
+                                         {"policy", settings.policy},
+                                         {"callers_port", std::to_string(callers.port())}});
     }
 
-    void leave()
+    void await_signal()
+    {
+        signals.async_wait([this](const asio::error_code& error, int number) {
+            if (error) {
+                return;
+            }
+            if (number == SIGHUP) {
+                reload();
+            }
+            else {
+                leave();
+            }
+            await_signal();
+        });
+    }
+
+    // Configuration and settings.
+
+    void config_changed()
     {
-        log_event(event::leave_started, {{"vm", settings.vm_name}});
-        const auto end = boot_clock::now() + settings.member_leave_bound;
-        const bool handed_over = ownership.leave(settings.member_leave_bound);
-        const auto left = std::chrono::duration_cast<milliseconds>(end - boot_clock::now());
-        const auto cut = edge.drain(std::max(left, milliseconds{0}));
-        log_event(event::leave_ended, {{"vm", settings.vm_name},
-                                       {"handed_over", handed_over ? "yes" : "no"},
-                                       {"calls_cut", std::to_string(cut)}});
+        auto& shared = callers.shared();
+        shared.limits = routes.table()->config().limits;
+        update_state();
     }
 
-    void stop()
+    /** Ready as soon as everything was read once. */
+    void update_state()
     {
-        {
-            const std::lock_guard lock(mutex);
-            if (stopping) {
+        const bool starting = members.self().state == member_state::starting;
+        if (starting && sync.synced() && routes.table()) {
+            members.set_state(member_state::ready);
+        }
+    }
+
+    /** Takes over what may change while the process runs. */
+    void reload()
+    {
+        try {
+            auto fresh = read_settings();
+            if (same_settings(fresh, settings)) {
                 return;
             }
-            stopping = true;
+            settings = std::move(fresh);
+            gossip.set_seeds(seed_addresses(settings));
+            log_event(event::settings_reloaded);
+        }
+        catch (const invalid_input& fault) {
+            log_event(event::settings_refused, {{"reason", fault.what()}});
+        }
+    }
+
+    // Time.
+
+    void tick()
+    {
+        const auto now = boot_clock::now();
+        if (now - last_tick > tick_period + stand_still_limit) {
+            stood_still(now);
+        }
+        last_tick = now;
+        for (auto* server : {&callers, &ready_page, &directory_page, &metrics_page}) {
+            server->sweep(now);
+        }
+        registry.expire(now);
+        if (now >= next_second) {
+            next_second = now + seconds{1};
+            each_second(now);
+        }
+        if (members.self().state == member_state::leaving && left(now)) {
+            io.stop();
+            return;
+        }
+        tick_timer.expires_after(tick_period);
+        tick_timer.async_wait([this](const asio::error_code& error) {
+            if (!error) {
+                tick();
+            }
+        });
+    }
+
+    void each_second(local_time now)
+    {
+        registry.for_each([now](upstream& item) { upstream_pool::close_stale(item, now); });
+        calls.fleet = {settings.vm_name, members.may_run(now), now - calls.started >= settle_time};
+        update_state();
+        const auto alive = members.alive(now);
+        const auto ready = std::ranges::count(alive, member_state::ready, &member_entry::state);
+        if (alive.size() != alive_logged || ready != ready_logged) {
+            alive_logged = alive.size();
+            ready_logged = ready;
+            log_event(event::members_changed,
+                      {{"alive", std::to_string(alive.size())}, {"ready", std::to_string(ready)}});
+        }
+        if (now >= next_reload) {
+            next_reload = now + reload_period;
+            reload();
+        }
+    }
+
+    /** After a freeze or a suspend nothing that was known or open before can be relied on. */
+    void stood_still(local_time now)
+    {
+        log_event(event::process_stood_still,
+                  {{"ms", std::to_string(
+                              std::chrono::duration_cast<milliseconds>(now - last_tick).count())}});
+        registry.for_each([](upstream& item) {
+            item.idle.clear();
+            item.report.reset();
+        });
+        store.drop_connections();
+    }
+
+    // Leaving.
+
+    void leave()
+    {
+        if (members.self().state == member_state::leaving) {
+            return;
         }
-        ownership.stop();
-        configuration.stop();
-        edge.stop();
-        pages.stop();
-        link.stop();
-        schedule.stop();
-        log_event(event::entry_stopped, {{"vm", settings.vm_name}});
+        members.set_state(member_state::leaving);
+        leave_began = boot_clock::now();
+        callers.shared().draining = true;
+        callers.close_idle();
+        gossip.tell_all();
+        log_event(event::entry_leaving, {{"connections", std::to_string(callers.connections())},
+                                         {"busy", std::to_string(callers.busy())}});
     }
 
-    void apply_config(const std::shared_ptr<const config_snapshot>& snapshot)
+    /** Goes on with leaving. @return true if the process can end. */
+    bool left(local_time now)
     {
-        const std::lock_guard lock(mutex);
-        config = snapshot;
-        routers.set(std::make_shared<const edge_router>(config));
-        slots.apply(config);
-        ownership.set_config(config);
+        const auto since = now - leave_began;
+        callers.close_idle();
+        if (since < settings.stop_limit * accept_part) {
+            return false;
+        }
+        callers.stop_accepting();
+        if (callers.busy() > 0 && since < settings.stop_limit) {
+            return false;
+        }
+        log_event(event::entry_stopped, {{"cut_off", std::to_string(callers.busy())}});
+        return true;
     }
 
-    nlohmann::json status_json()
+    // Pages.
+
+    void answer_ready(const exchange_ptr& item)
     {
-        nlohmann::json services = nlohmann::json::array();
-        for (const auto& item : slots.status()) {
-            services.push_back({{"service", item.service},
-                                {"owned_servers", item.owned_servers},
-                                {"slots", item.slots},
-                                {"in_flight", item.in_flight},
-                                {"waiting", item.waiting}});
+        const bool known = item->request().head.target == adapter.dialect.ready_path;
+        const bool ready = members.self().state == member_state::ready;
+        item->respond(
+            {known ? (ready ? status_ok : status_unavailable) : status_not_found, {}, {}});
+    }
+
+    void answer_directory(const exchange_ptr& item)
+    {
+        const std::string_view target = item->request().head.target;
+        if (target.substr(0, target.find('?')) != adapter.dialect.directory_path) {
+            item->respond({status_not_found, {}, {}});
+            return;
         }
-        auto configured = configuration.status();
-        const std::lock_guard lock(mutex);
-        return {{"vm", settings.vm_name},
-                {"failure_domain", settings.failure_domain},
-                {"version", SNIPEROCK_VERSION},
-                {"revision", config->revision.value},
-                {"configuration", std::move(configured)},
-                {"answered", counters.answered.load()},
-                {"not_run", counters.not_run.load()},
-                {"unknown", counters.unknown.load()},
-                {"ownership", ownership.status()},
-                {"services", std::move(services)}};
+        const auto query = adapter.dialect.parse_directory_query(target);
+        auto addresses = directory_addresses(members.alive(boot_clock::now()), query.failure_domain,
+                                             members.self().address);
+        for (auto& address : addresses) {
+            address += ":" + std::to_string(callers.port());
+        }
+        caller_answer answer{status_ok, {}, {}};
+        answer.headers.add("Content-Type", "application/json");
+        answer.body = adapter.dialect.format_directory_answer(addresses, settings.directory_ttl);
+        item->respond(answer);
     }
 
-    bool healthy()
+    void answer_metrics(const exchange_ptr& item)
     {
-        const std::lock_guard lock(mutex);
-        return config->revision.value > 0 && ownership.is_member();
+        caller_answer answer{status_ok, {}, measured.text()};
+        answer.headers.add("Content-Type", "text/plain; version=0.0.4");
+        item->respond(answer);
     }
 
+    asio::io_context io{1};
     entry_settings settings;
+    entry_adapter adapter;
+    std::function<entry_settings()> read_settings;
     metrics measured;
-    store_client store;
-    incarnation life;
-    peer_link link;
-    dispatcher slots;
-    entry_schedule schedule;
-    router_holder routers;
-    locate_service locator;
-    edge_counters counters;
-    edge_server edge;
-    page_server pages;
-    entry_config configuration;
-    vm_record self;
-    std::mutex mutex;
-    bool stopping = false;
-    std::shared_ptr<const config_snapshot> config = std::make_shared<const config_snapshot>();
-    entry_ownership ownership;
+    random_engine random;
+    call_metrics call_measures;
+    route_holder routes;
+    upstream_registry registry;
+    upstream_pool pool;
+    upstream_prober prober;
+    std::unique_ptr<choice_policy> policy;
+    call_context calls;
+    member_table members;
+    member_gossip gossip;
+    platform::store_client store;
+    store_applier applier;
+    store_sync<platform::store_client> sync;
+    caller_server callers;
+    caller_server ready_page;
+    caller_server directory_page;
+    caller_server metrics_page;
+    asio::signal_set signals;
+    asio::steady_timer tick_timer;
+    local_time last_tick;
+    local_time next_second;
+    local_time next_reload;
+    local_time leave_began;
+    std::size_t alive_logged = 0;
+    std::ptrdiff_t ready_logged = 0;
 };
 
-entry_node::entry_node(entry_settings settings) : impl_(std::make_unique<impl>(std::move(settings)))
+entry_node::entry_node(entry_settings settings, entry_adapter adapter,
+                       std::function<entry_settings()> reload)
+    : impl_(std::make_unique<impl>(std::move(settings), adapter, std::move(reload)))
 {
 }
 
-entry_node::~entry_node()
-{
-    stop();
-}
+entry_node::~entry_node() = default;
 
 void entry_node::start()
 {
     impl_->start();
 }
 
-void entry_node::leave()
+void entry_node::run()
 {
-    impl_->leave();
+    impl_->io.run();
+    impl_->callers.close_all();
 }
 
-void entry_node::stop()
+void entry_node::leave()
 {
-    impl_->stop();
+    asio::post(impl_->io, [this] { impl_->leave(); });
 }
 
-entry_ports entry_node::ports() const
+std::uint16_t entry_node::callers_port() const
 {
-    return {impl_->edge.port(), static_cast<std::uint16_t>(impl_->pages.port())};
+    return impl_->callers.port();
 }
-
-config_revision entry_node::revision() const
+std::uint16_t entry_node::ready_port() const
+{
+    return impl_->ready_page.port();
+}
+std::uint16_t entry_node::directory_port() const
+{
+    return impl_->directory_page.port();
+}
+std::uint16_t entry_node::metrics_port() const
 {
-    const std::lock_guard lock(impl_->mutex);
-    return impl_->config->revision;
+    return impl_->metrics_page.port();
 }
 
 } // namespace sniperock
--- a/src/entry_node.hpp
+++ b/src/entry_node.hpp
@@ -1,42 +1,47 @@
-/** @file entry_node.hpp One entry vm's process: wires store, ownership, dispatcher, edge and pages.
- */
+/** @file entry_node.hpp One entry VM's process: all parts and how they are wired. */
 #pragma once
 
-#include "config_type.hpp"
 #include "settings_type.hpp"
+#include "store_schema.hpp"
+#include "wire_dialect.hpp"
 
-#include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
 namespace sniperock {
 
-/** Ports that an entry node listens on. */
-struct entry_ports {
-    std::uint16_t callers = 0;
-    std::uint16_t admin = 0;
+/** What a deployment's adapter brings. */
+struct entry_adapter {
+    const wire_dialect& dialect;
+    const store_schema& schema;
 };
 
-/** Runs everything an entry vm does until stopped. */
+/** Serves callers until it is told to leave. */
 class entry_node {
 public:
-    explicit entry_node(entry_settings settings);
+    /**
+     * @param settings what holds at the start.
+     * @param reload reads the settings anew; called when the file may have changed.
+     */
+    entry_node(entry_settings settings, entry_adapter adapter,
+               std::function<entry_settings()> reload);
     ~entry_node();
     entry_node(const entry_node&) = delete;
     entry_node& operator=(const entry_node&) = delete;
 
-    /** Opens the listening sockets and starts all threads. @throws std::exception */
+    /** Opens the ports. @throws listen_failed */
     void start();
-    /**
-     * Leaves gracefully: unlisted, servers handed over, running calls ended; members.leave_bound
-     * bounds the wait. Call stop() afterwards.
-     */
+    /** Runs until the process has left; SIGTERM and SIGINT begin that, SIGHUP reloads. */
+    void run();
+    /** Begins to leave; may be called from any thread. */
     void leave();
-    /** Stops all threads. */
-    void stop();
-    [[nodiscard]] entry_ports ports() const;
-    /** Revision of the configuration in force. */
-    [[nodiscard]] config_revision revision() const;
+
+    /** Ports in use, for settings that ask for free ones. */
+    [[nodiscard]] std::uint16_t callers_port() const;
+    [[nodiscard]] std::uint16_t ready_port() const;
+    [[nodiscard]] std::uint16_t directory_port() const;
+    [[nodiscard]] std::uint16_t metrics_port() const;
 
 private:
     struct impl;
--- a/src/event.cpp
+++ b/src/event.cpp
@@ -1,16 +1,19 @@
-/** @file event.cpp Writes numbered events through easylogging++. */
+/** @file event.cpp Formats numbered events and hands them to the log's writer. */
+#include "clock_type.hpp"
 #include "enum_table.hpp"
 #include "event_type.hpp"
+#include "log_writer.hpp"
 #include "table/event_table.hpp"
 
-#include <easylogging++.h>
-
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <cstdio>
+#include <memory>
+#include <mutex>
 #include <sstream>
 
-INITIALIZE_EASYLOGGINGPP
+#include <unistd.h>
 
 namespace sniperock {
 
@@ -24,18 +27,37 @@
 
 namespace {
 
+constexpr std::size_t default_buffer = 131'072;
+constexpr std::size_t default_rate = 1000;
+
 std::atomic<event_level> least_level{event_level::info};
 
+/** The log of the process: its writer, and how many lines of a second were written. */
+struct process_log {
+    std::mutex guard;
+    log_setup setup{"", default_buffer, default_rate};
+    std::unique_ptr<log_writer> writer;
+    local_time second_began;
+    std::size_t lines_in_second = 0;
+    std::size_t lines_over_rate = 0;
+};
+
+process_log& the_log()
+{
+    static process_log log;
+    return log;
+}
+
 const event_descriptor& describe(event number)
 {
     const auto row = std::ranges::find(event_table, number, &event_descriptor::number);
     return row == event_table.end() ? event_table.front() : *row;
 }
 
-/** Quotes a value if it holds a space or a quote. */
+/** Quotes a value if it is empty or holds a space or a quote. */
 std::string quoted(const std::string& value)
 {
-    if (value.find_first_of(" \"\n\r") == std::string::npos) {
+    if (!value.empty() && value.find_first_of(" \"=\n\r") == std::string::npos) {
         return value;
     }
     std::string result = "\"";
@@ -48,26 +70,57 @@
     return result + "\"";
 }
 
-el::Level to_library_level(event_level level)
+/** Seconds since 1970 with milliseconds. */
+std::string time_text()
 {
-    constexpr std::array levels{el::Level::Debug, el::Level::Info, el::Level::Warning,
-                                el::Level::Error};
-    return levels.at(static_cast<std::size_t>(level));
+    const auto us = to_unix_us(system_clock_source::wall_now());
+    std::array<char, 40> text{};
+    const auto size = std::snprintf(text.data(), text.size(), "%lld.%03lld",
+                                    static_cast<long long>(us / 1'000'000),
+                                    static_cast<long long>(us / 1000 % 1000));
+    return {text.data(), static_cast<std::size_t>(size)};
 }
 
-/** Configures the log library once: standard error, one line per event. */
-void configure_once()
+std::string format_line(const event_descriptor& row, const std::string& vm,
+                        std::initializer_list<event_field> fields)
 {
-    static const bool configured = [] {
-        el::Configurations config;
-        config.setToDefault();
-        config.setGlobally(el::ConfigurationType::Format, "%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
-        config.setGlobally(el::ConfigurationType::ToFile, "false");
-        config.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
-        el::Loggers::reconfigureAllLoggers(config);
-        return true;
-    }();
-    static_cast<void>(configured);
+    std::string line = "time=" + time_text() + " level=" + std::string{to_name(row.level)} +
+                       " event=SR" + std::to_string(static_cast<int>(row.number)) +
+                       " name=" + std::string{row.name} + " vm=" + quoted(vm);
+    for (const auto& field : fields) {
+        line += " ";
+        line += field.name;
+        line += "=";
+        line += quoted(field.value);
+    }
+    return line + "\n";
+}
+
+/** Lines about calls are as many as the calls; the others follow from rare changes. */
+bool is_rated(const event_descriptor& row)
+{
+    return row.category == "calls" || row.category == "upstreams" || row.category == "members";
+}
+
+/** True if a line may be written in this second; tells of those that were not. */
+bool within_rate(process_log& log)
+{
+    const auto now = boot_clock::now();
+    if (now - log.second_began >= seconds{1}) {
+        if (log.lines_over_rate > 0) {
+            log.writer->write(format_line(describe(event::log_lines_dropped), log.setup.vm,
+                                          {{"lines", std::to_string(log.lines_over_rate)}}));
+        }
+        log.second_began = now;
+        log.lines_in_second = 0;
+        log.lines_over_rate = 0;
+    }
+    if (log.lines_in_second >= log.setup.rate) {
+        ++log.lines_over_rate;
+        return false;
+    }
+    ++log.lines_in_second;
+    return true;
 }
 
 } // namespace
@@ -78,18 +131,14 @@
     if (row.level < least_level.load(std::memory_order_relaxed)) {
         return;
     }
-    configure_once();
-    std::ostringstream line;
-    line << "SR" << static_cast<int>(row.number) << " " << to_name(row.level) << " " << row.category
-         << " " << row.name;
-    for (const auto& field : fields) {
-        line << " " << field.name << "=" << quoted(field.value);
+    auto& log = the_log();
+    const std::lock_guard lock(log.guard);
+    if (!log.writer) {
+        log.writer = std::make_unique<log_writer>(STDOUT_FILENO, log.setup.buffer);
+    }
+    if (!is_rated(row) || within_rate(log)) {
+        log.writer->write(format_line(row, log.setup.vm, fields));
     }
-    el::Loggers::getLogger("default");
-    el::base::Writer(to_library_level(row.level), __FILE__, __LINE__, "",
-                     el::base::DispatchAction::NormalLog)
-            .construct(1, "default")
-        << line.str();
 }
 
 void set_log_level(event_level least)
@@ -97,16 +146,35 @@
     least_level.store(least, std::memory_order_relaxed);
 }
 
+void set_up_log(const log_setup& setup)
+{
+    auto& log = the_log();
+    const std::lock_guard lock(log.guard);
+    log.setup = setup;
+    if (log.writer) {
+        log.writer->set_limit(setup.buffer);
+    }
+}
+
+void close_log()
+{
+    auto& log = the_log();
+    const std::lock_guard lock(log.guard);
+    log.writer.reset();
+}
+
 std::string event_catalogue()
 {
     std::ostringstream page;
     page << "# Log events\n\n"
-         << "Each line of the log is `time SRnumber level category name field=value ...`.\n"
-         << "`sniperock events` prints this page.\n\n"
-         << "| number | level | category | name | meaning |\n|---|---|---|---|---|\n";
+         << "Each line on standard output is `time=SECONDS level=LEVEL event=SRnumber name=NAME "
+            "vm=VM field=value ...`;\n"
+         << "values with spaces are quoted. `sniperock events` prints this page.\n\n"
+         << "| number | level | category | name | fields | meaning |\n|---|---|---|---|---|---|\n";
     for (const auto& row : event_table) {
         page << "| SR" << static_cast<int>(row.number) << " | " << to_name(row.level) << " | "
-             << row.category << " | " << row.name << " | " << row.text << " |\n";
+             << row.category << " | " << row.name << " | " << row.fields << " | " << row.text
+             << " |\n";
     }
     return page.str();
 }
--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -1,6 +1,7 @@
 /** @file event_type.hpp Numbered log events. */
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -12,36 +13,34 @@
 enum class event : std::uint16_t {
     // 1xx: process.
     entry_started = 100,
-    entry_stopped = 101,
-    settings_refused = 102,
-    // 2xx: callers.
-    caller_refused = 200,
-    // 3xx: servers.
-    server_failed = 300,
-    server_standing_changed = 310,
-    server_limit_cut = 311,
-    // 4xx: ownership.
-    epoch_adopted = 400,
-    epoch_fenced = 401,
-    servers_gained = 402,
-    servers_given_up = 403,
-    vm_superseded = 404,
-    epoch_malformed = 405,
-    leave_started = 406,
-    leave_ended = 407,
+    entry_leaving = 101,
+    entry_stopped = 102,
+    settings_refused = 103,
+    settings_reloaded = 104,
+    process_stood_still = 105,
+    log_lines_dropped = 110,
+    // 2xx: calls.
+    call_ended = 200,
+    call_troubled = 201,
+    attempt_failed = 202,
+    // 3xx: upstreams.
+    upstream_silent = 300,
+    upstream_replaced = 301,
     // 5xx: store.
     store_lost = 500,
     store_back = 501,
-    // 6xx: configuration.
+    store_history_gone = 502,
+    store_entry_refused = 503,
+    vm_not_registered = 504,
+    // 6xx: configuration and registry.
     config_applied = 600,
     config_refused = 601,
-    take_out_unrecorded = 610,
-    take_out_settled = 611,
-    // 7xx: peers.
-    peer_message_dropped = 700,
-    // 8xx: administration.
-    admin_change = 800,
-    admin_refused = 801,
+    evacuations_changed = 610,
+    registry_listed = 620,
+    registry_changed = 621,
+    // 7xx: members.
+    members_changed = 700,
+    heartbeat_dropped = 701,
 };
 
 /** How much an event matters. */
@@ -53,6 +52,8 @@
     event_level level;
     std::string_view category;
     std::string_view name;
+    /** Names of the fields, separated by spaces, in the order written. */
+    std::string_view fields;
     std::string_view text;
 };
 
@@ -62,12 +63,27 @@
     std::string value;
 };
 
-/** Writes one event with its fields to the log. */
+/** Writes one event with its fields to the log; never waits for the log's reader. */
 void log_event(event number, std::initializer_list<event_field> fields = {});
 
 /** Sets the least level that is written, for every category. */
 void set_log_level(event_level least);
 
+/** What is known before the first line. */
+struct log_setup {
+    /** Name of the VM, in each line. */
+    std::string vm;
+    /** Bytes of lines that may wait to be written. */
+    std::size_t buffer = 0;
+    /** Lines a second about troubled calls and attempts. */
+    std::size_t rate = 0;
+};
+
+/** Sets the log up; without it lines are written with defaults. */
+void set_up_log(const log_setup& setup);
+/** Writes the last lines; the end of a process. */
+void close_log();
+
 /** The catalogue of events as a Markdown page. */
 std::string event_catalogue();
 
--- a/src/edge_stream.cpp
+++ b/src/net_stream.cpp
@@ -1,16 +1,25 @@
-/** @file edge_stream.cpp Reads and writes without waiting. */
-#include "edge_stream.hpp"
+/** @file net_stream.cpp Reads and writes without waiting. */
+#include "net_stream.hpp"
 
 #include <asio/buffer.hpp>
 
 #include <algorithm>
 #include <array>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 namespace sniperock {
 namespace {
 
 /** Most parts that one write gathers. */
 constexpr std::size_t max_parts = 8;
+/** Keep-alive after so many idle seconds, so far apart, so many: broken after three seconds. */
+constexpr int silence_idle_s = 1;
+constexpr int silence_interval_s = 1;
+constexpr int silence_probes = 2;
+/** Sent bytes that are not acknowledged for so long break the connection. */
+constexpr int silence_unacknowledged_ms = 2500;
 
 bool must_wait(const asio::error_code& error)
 {
@@ -19,7 +28,7 @@
 
 } // namespace
 
-void edge_stream::prepare(asio::error_code& error)
+void net_stream::prepare(asio::error_code& error)
 {
     socket_.non_blocking(true, error);
     if (!error) {
@@ -27,7 +36,17 @@
     }
 }
 
-std::size_t edge_stream::read(std::span<char> buffer, asio::error_code& error)
+void net_stream::detect_silence(asio::error_code& error)
+{
+    using asio::detail::socket_option::integer;
+    socket_.set_option(asio::socket_base::keep_alive(true), error);
+    socket_.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(silence_idle_s), error);
+    socket_.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(silence_interval_s), error);
+    socket_.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(silence_probes), error);
+    socket_.set_option(integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(silence_unacknowledged_ms), error);
+}
+
+std::size_t net_stream::read(std::span<char> buffer, asio::error_code& error)
 {
     const auto size = socket_.read_some(asio::buffer(buffer.data(), buffer.size()), error);
     if (must_wait(error)) {
@@ -37,7 +56,7 @@
     return size;
 }
 
-bool edge_stream::has_input()
+bool net_stream::has_input()
 {
     std::array<char, 1> probe{};
     asio::error_code error;
@@ -45,7 +64,7 @@
     return !must_wait(error);
 }
 
-std::size_t edge_stream::write(std::span<const std::string_view> parts, asio::error_code& error)
+std::size_t net_stream::write(std::span<const std::string_view> parts, asio::error_code& error)
 {
     std::size_t taken = 0;
     if (flushed()) {
@@ -66,7 +85,7 @@
     return taken;
 }
 
-void edge_stream::keep_unsent(std::span<const std::string_view> parts, std::size_t taken)
+void net_stream::keep_unsent(std::span<const std::string_view> parts, std::size_t taken)
 {
     for (auto part : parts) {
         const auto skip = std::min(taken, part.size());
@@ -75,7 +94,7 @@
     }
 }
 
-void edge_stream::flush(asio::error_code& error)
+void net_stream::flush(asio::error_code& error)
 {
     const std::string_view rest = std::string_view{unsent_}.substr(unsent_at_);
     if (!rest.empty()) {
@@ -90,19 +109,19 @@
     }
 }
 
-void edge_stream::release_memory()
+void net_stream::release_memory()
 {
     std::string{}.swap(unsent_);
     unsent_at_ = 0;
 }
 
-void edge_stream::shutdown_send()
+void net_stream::shutdown_send()
 {
     asio::error_code ignored;
     socket_.shutdown(asio::socket_base::shutdown_send, ignored);
 }
 
-void edge_stream::close()
+void net_stream::close()
 {
     asio::error_code ignored;
     socket_.close(ignored);
--- a/src/edge_stream.hpp
+++ b/src/net_stream.hpp
@@ -1,4 +1,4 @@
-/** @file edge_stream.hpp A non-blocking connection that keeps what the system did not take yet. */
+/** @file net_stream.hpp A non-blocking connection that keeps what the system did not take yet. */
 #pragma once
 
 #include <asio/io_context.hpp>
@@ -19,15 +19,17 @@
  * Reads and writes without waiting. No buffer is held while nothing is unsent, so an idle
  * connection costs no buffer memory. Used by one thread.
  */
-class edge_stream {
+class net_stream {
 public:
-    explicit edge_stream(tcp_socket socket) : socket_(std::move(socket)) {}
+    explicit net_stream(tcp_socket socket) : socket_(std::move(socket)) {}
 
     [[nodiscard]] tcp_socket& socket() { return socket_; }
     [[nodiscard]] bool is_open() const { return socket_.is_open(); }
 
     /** Turns waiting and Nagle's algorithm off; to be called once the socket is connected. */
     void prepare(asio::error_code& error);
+    /** Lets the system break a connection whose peer has gone silent, within some seconds. */
+    void detect_silence(asio::error_code& error);
     /**
      * Reads what has arrived.
      * @param buffer takes the bytes.
--- a/src/pch.hpp
+++ b/src/pch.hpp
@@ -4,8 +4,6 @@
 
 #include <asio.hpp>
 
-#include <easylogging++.h>
-
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -13,12 +11,9 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <ranges>
 #include <string>
 #include <string_view>
-#include <thread>
 #include <unordered_map>
-#include <variant>
 #include <vector>
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,4 +1,5 @@
 /** @file settings.cpp Parses INI text into settings by the settings table. */
+#include "net_endpoint.hpp"
 #include "settings_func.hpp"
 #include "table/settings_table.hpp"
 
@@ -42,6 +43,22 @@
     return value;
 }
 
+/** Assigns a number with a fraction. @return what is wrong with it, if anything. */
+std::optional<std::string> assign_real(double& target, const setting_descriptor& row,
+                                       std::string_view text)
+{
+    double value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size()) {
+        return "\"" + std::string{text} + "\" is not a number; allowed are " + range_text(row);
+    }
+    if (!(value >= static_cast<double>(row.min) && value <= static_cast<double>(row.max))) {
+        return std::string{text} + " is out of range; allowed are " + range_text(row);
+    }
+    target = value;
+    return std::nullopt;
+}
+
 /** Assigns one value. @return what is wrong with it, if anything. */
 std::optional<std::string> assign(entry_settings& settings, const setting_descriptor& row,
                                   std::string_view text)
@@ -51,9 +68,15 @@
         if (size < row.min || size > row.max) {
             return "needs " + range_text(row) + ", has " + std::to_string(size);
         }
+        if (row.unit == endpoint_unit && !parse_endpoint(text)) {
+            return "\"" + std::string{text} + "\" is not an IP address with a port";
+        }
         settings.*(*member) = std::string{text};
         return std::nullopt;
     }
+    if (const auto* real = std::get_if<double entry_settings::*>(&row.target)) {
+        return assign_real(settings.*(*real), row, text);
+    }
     const auto value = parse_integer(text);
     if (!value) {
         return "\"" + std::string{text} + "\" is not a whole number; allowed are " +
@@ -137,6 +160,11 @@
     if (const auto* number = std::get_if<std::int64_t entry_settings::*>(&row.target)) {
         return std::to_string(settings.*(*number));
     }
+    if (const auto* real = std::get_if<double entry_settings::*>(&row.target)) {
+        std::ostringstream text;
+        text << settings.*(*real);
+        return text.str();
+    }
     return std::to_string((settings.*std::get<milliseconds entry_settings::*>(row.target)).count());
 }
 
--- a/src/settings_type.hpp
+++ b/src/settings_type.hpp
@@ -17,52 +17,51 @@
 struct entry_settings {
     std::string vm_name;
     std::string failure_domain;
-    std::string cell;
-    std::string caller_address;
-    std::int64_t caller_port{};
-    std::string admin_address;
-    std::int64_t admin_port{};
-    std::string peer_address;
+    std::string region;
+    std::string callers_listen;
+    std::string ready_listen;
+    std::string directory_listen;
+    std::int64_t metrics_port{};
     std::int64_t peer_port{};
-    std::string peer_key_file;
-    std::int64_t peers_insecure{};
+    std::string peer_seeds;
     std::string store_address;
-    std::int64_t store_port{};
     milliseconds store_timeout{};
     milliseconds store_watch{};
-    std::int64_t store_rate{};
-    std::int64_t store_burst{};
-    std::int64_t config_watchers{};
-    std::string admin_first_key_hash;
-    std::int64_t threads{};
+    milliseconds store_gather{};
+    milliseconds store_return_grace{};
     std::int64_t max_connections{};
-    std::int64_t max_header_bytes{};
-    milliseconds header_timeout{};
-    milliseconds idle_timeout{};
+    std::int64_t body_memory{};
     milliseconds default_deadline{};
-    milliseconds locate_keep{};
-    std::int64_t owners_per_domain{};
-    milliseconds ownership_term{};
-    milliseconds ownership_margin{};
-    milliseconds ownership_permit_life{};
-    milliseconds member_heartbeat{};
-    milliseconds member_suspicion{};
-    milliseconds member_join_window{};
-    milliseconds member_hold_down{};
-    milliseconds member_list_lag{};
-    milliseconds member_list_period{};
-    milliseconds member_leave_bound{};
+    milliseconds directory_ttl{};
+    milliseconds stop_limit{};
     std::string policy;
-    std::int64_t queue_limit{};
+    std::int64_t probe_count{};
+    milliseconds probe_timeout{};
+    milliseconds probe_fresh{};
+    std::int64_t probe_rate{};
+    double wait_share{};
+    double retry_ratio{};
+    std::int64_t retry_slack{};
+    milliseconds retry_window{};
+    double cold_overshoot{};
+    double cold_slack{};
+    milliseconds member_heartbeat{};
+    milliseconds member_silence{};
+    std::int64_t log_buffer{};
+    std::int64_t log_rate{};
+    double log_sample{};
 };
 
 /** Where a parsed value goes; its alternative is the setting's type. */
 using setting_target = std::variant<std::string entry_settings::*, std::int64_t entry_settings::*,
-                                    milliseconds entry_settings::*>;
+                                    double entry_settings::*, milliseconds entry_settings::*>;
 
 /** What a setting demands beyond its range. */
 enum class setting_flag { optional, required };
 
+/** Unit of settings that hold an IPv4 address and a port; parsing checks them. */
+inline constexpr std::string_view endpoint_unit = "IP:port";
+
 /** One row of the settings table. */
 struct setting_descriptor {
     std::string_view section;
--- /dev/null
+++ b/src/sliding_count.hpp
@@ -0,0 +1,36 @@
+/** @file sliding_count.hpp Counts events in a window that slides with time. */
+#pragma once
+
+#include "clock_type.hpp"
+
+#include <cstddef>
+#include <deque>
+
+namespace sniperock {
+
+/** The times of the events of the last window. */
+class sliding_count {
+public:
+    explicit sliding_count(nanoseconds window) : window_(window) {}
+
+    void add(local_time now) { times_.push_back(now); }
+    /** Events in the window that ends at @p now. */
+    [[nodiscard]] std::size_t count(local_time now)
+    {
+        while (!times_.empty() && times_.front() + window_ <= now) {
+            times_.pop_front();
+        }
+        return times_.size();
+    }
+    /** When the oldest event leaves the window; @p now if there is none. */
+    [[nodiscard]] local_time next_leaves(local_time now) const
+    {
+        return times_.empty() ? now : times_.front() + window_;
+    }
+
+private:
+    nanoseconds window_;
+    std::deque<local_time> times_;
+};
+
+} // namespace sniperock
--- /dev/null
+++ b/src/store_follower.hpp
@@ -0,0 +1,152 @@
+/** @file store_follower.hpp Keeps up with all objects of one kind in the store. */
+#pragma once
+
+#include "event_type.hpp"
+#include "random_type.hpp"
+#include "store_type.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <string>
+
+namespace sniperock {
+
+/** What a follower tells of the objects it follows. */
+struct follower_sink {
+    /** The store answered again after it had not for some time. */
+    std::function<void()> returned;
+    /** Everything there is now. */
+    std::function<void(const store_listing&)> listed;
+    /** Changes, in order. */
+    std::function<void(const store_changes&)> changed;
+};
+
+/** Times of a follower. */
+struct follower_times {
+    /** How long one watch call waits for a change. */
+    milliseconds watch{25'000};
+    /** Least time between two watch calls; changes meanwhile come together. */
+    milliseconds gather{0};
+    /** Without an answer for so long, the store counts as lost. */
+    milliseconds lost_after{1000};
+};
+
+/**
+ * Lists a kind and then watches it; lists again when the history is gone. Waits longer after each
+ * failure, with jitter, so that a fleet does not ask all at once when the store returns.
+ */
+template <object_store Store>
+class store_follower {
+public:
+    store_follower(Store& store, std::string kind, follower_times times, follower_sink sink,
+                   random_engine& random)
+        : store_(store), kind_(std::move(kind)), times_(times), sink_(std::move(sink)),
+          random_(random)
+    {
+    }
+
+    /** Follows until the io context ends. */
+    task<> run()
+    {
+        for (;;) {
+            auto failure = store_failure::unavailable;
+            try {
+                co_await follow();
+            }
+            catch (const store_error& error) {
+                failure = error.failure();
+                note_failure(error);
+            }
+            co_await sleep_for(failure == store_failure::history_gone ? nanoseconds{0}
+                                                                      : next_pause());
+        }
+    }
+
+    /** A listing was taken over at least once. */
+    [[nodiscard]] bool synced() const { return synced_; }
+    /** When the store last answered. */
+    [[nodiscard]] local_time last_answer() const { return last_answer_; }
+
+private:
+    /** Goes on from where it was; ends with an exception. */
+    task<> follow()
+    {
+        if (!listed_) {
+            const auto listing = co_await store_.list(kind_);
+            note_answer();
+            at_ = listing.at;
+            listed_ = true;
+            synced_ = true;
+            sink_.listed(listing);
+        }
+        for (;;) {
+            const auto began = boot_clock::now();
+            const auto changes = co_await store_.watch(kind_, at_, times_.watch);
+            note_answer();
+            at_ = changes.at;
+            sink_.changed(changes);
+            co_await sleep_for(
+                std::max<nanoseconds>(nanoseconds{0}, began + times_.gather - boot_clock::now()));
+        }
+    }
+
+    void note_answer()
+    {
+        const auto now = boot_clock::now();
+        if (lost_) {
+            log_event(event::store_back, {{"kind", kind_}});
+            sink_.returned();
+        }
+        lost_ = false;
+        failures_ = 0;
+        last_answer_ = now;
+    }
+
+    void note_failure(const store_error& error)
+    {
+        if (error.failure() == store_failure::history_gone) {
+            listed_ = false;
+            log_event(event::store_history_gone, {{"kind", kind_}});
+            return;
+        }
+        if (failures_++ == 0) {
+            failing_since_ = boot_clock::now();
+        }
+        const bool lost = boot_clock::now() - failing_since_ >= times_.lost_after;
+        if (lost && !lost_) {
+            lost_ = true;
+            log_event(event::store_lost, {{"kind", kind_},
+                                          {"failure", std::string{to_name(error.failure())}},
+                                          {"reason", error.what()}});
+        }
+        if (lost) {
+            // What happened meanwhile is read anew: lapsed entries cannot be told from events.
+            listed_ = false;
+        }
+    }
+
+    /** The pause before the next try: doubles from a tenth of a second up to the longest. */
+    nanoseconds next_pause()
+    {
+        constexpr milliseconds first{100};
+        constexpr unsigned most_doublings = 3;
+        const auto pause = first * (1U << std::min(failures_, most_doublings));
+        std::uniform_real_distribution<double> jitter{0.5, 1};
+        return std::chrono::duration_cast<nanoseconds>(pause * jitter(random_));
+    }
+
+    Store& store_;
+    std::string kind_;
+    follower_times times_;
+    follower_sink sink_;
+    random_engine& random_;
+    store_revision at_;
+    bool listed_ = false;
+    bool synced_ = false;
+    bool lost_ = false;
+    unsigned failures_ = 0;
+    local_time failing_since_;
+    local_time last_answer_;
+};
+
+} // namespace sniperock
--- /dev/null
+++ b/src/store_sync.cpp
@@ -0,0 +1,132 @@
+/** @file store_sync.cpp Puts what the store says in force on this VM. */
+#include "store_sync.hpp"
+
+#include "event_type.hpp"
+
+#include <algorithm>
+
+namespace sniperock {
+
+store_applier::store_applier(const store_schema& schema, route_holder& routes,
+                             upstream_registry& registry, std::function<void()> config_changed)
+    : schema_(schema), routes_(routes), registry_(registry),
+      config_changed_(std::move(config_changed))
+{
+}
+
+void store_applier::list_configurations(const store_listing& listing)
+{
+    std::ranges::for_each(listing.objects,
+                          [this](const auto& object) { apply_configuration(object); });
+}
+
+void store_applier::change_configurations(const store_changes& changes)
+{
+    for (const auto& change : changes.events) {
+        if (!change.deleted) {
+            apply_configuration(change.object);
+        }
+    }
+}
+
+/** Puts a configuration in force; one that cannot be read leaves the last good one. */
+void store_applier::apply_configuration(const stored_object& object)
+{
+    if (object.name != schema_.newest_configuration) {
+        return;
+    }
+    try {
+        auto config = schema_.decode_configuration(object.spec);
+        const auto version = config.version;
+        const auto routes = config.routes.size();
+        if (routes_.apply(std::move(config))) {
+            log_event(event::config_applied, {{"version", std::to_string(version.value)},
+                                              {"routes", std::to_string(routes)},
+                                              {"revision", std::to_string(object.revision.value)}});
+            config_changed_();
+        }
+    }
+    catch (const store_error& error) {
+        log_event(event::config_refused,
+                  {{"revision", std::to_string(object.revision.value)}, {"reason", error.what()}});
+    }
+}
+
+std::optional<upstream_entry> store_applier::read_upstream(const stored_object& object)
+{
+    auto entry = schema_.decode_upstream(object);
+    if (!entry) {
+        log_event(event::store_entry_refused,
+                  {{"object", object.name}, {"reason", "names no upstream to use"}});
+    }
+    return entry;
+}
+
+void store_applier::list_upstreams(const store_listing& listing)
+{
+    std::vector<upstream_entry> entries;
+    for (const auto& object : listing.objects) {
+        if (auto entry = read_upstream(object)) {
+            entries.push_back(std::move(*entry));
+        }
+    }
+    registry_.replace_all(entries, boot_clock::now());
+    log_event(event::registry_listed, {{"upstreams", std::to_string(entries.size())},
+                                       {"revision", std::to_string(listing.at.value)}});
+}
+
+void store_applier::change_upstreams(const store_changes& changes)
+{
+    const auto now = boot_clock::now();
+    for (const auto& change : changes.events) {
+        const auto entry = change.deleted ? std::nullopt : read_upstream(change.object);
+        if (entry) {
+            registry_.put(*entry, now);
+        }
+        else {
+            registry_.remove(change.object.name, now);
+        }
+        log_event(event::registry_changed,
+                  {{"upstream", change.object.name},
+                   {"service", entry ? entry->service : ""},
+                   {"state", !entry ? "removed" : (entry->draining ? "draining" : "ready")},
+                   {"cold_ms", std::to_string(entry ? entry->cold_remaining.count() : 0)},
+                   {"revision", std::to_string(change.object.revision.value)}});
+    }
+}
+
+void store_applier::list_evacuations(const store_listing& listing)
+{
+    evacuated_.clear();
+    for (const auto& object : listing.objects) {
+        evacuated_.insert(object.name);
+    }
+    publish_evacuations();
+}
+
+void store_applier::change_evacuations(const store_changes& changes)
+{
+    for (const auto& change : changes.events) {
+        if (change.deleted) {
+            evacuated_.erase(change.object.name);
+        }
+        else {
+            evacuated_.insert(change.object.name);
+        }
+    }
+    if (!changes.events.empty()) {
+        publish_evacuations();
+    }
+}
+
+void store_applier::publish_evacuations()
+{
+    std::string names;
+    for (const auto& name : evacuated_) {
+        names += (names.empty() ? "" : ",") + name;
+    }
+    log_event(event::evacuations_changed, {{"failure_domains", names}});
+    registry_.set_evacuated(evacuated_);
+}
+
+} // namespace sniperock
--- /dev/null
+++ b/src/store_sync.hpp
@@ -0,0 +1,118 @@
+/** @file store_sync.hpp Puts what the store says in force on this VM. */
+#pragma once
+
+#include "entry_settings_func.hpp"
+#include "member_gossip.hpp"
+#include "route_table.hpp"
+#include "store_follower.hpp"
+#include "store_schema.hpp"
+#include "upstream_registry.hpp"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <set>
+#include <string>
+
+namespace sniperock {
+
+/** Applies objects of the store to the routes and the registry. */
+class store_applier {
+public:
+    /** @param config_changed called when a newer configuration is in force. */
+    store_applier(const store_schema& schema, route_holder& routes, upstream_registry& registry,
+                  std::function<void()> config_changed);
+
+    void list_configurations(const store_listing& listing);
+    void change_configurations(const store_changes& changes);
+    void list_upstreams(const store_listing& listing);
+    void change_upstreams(const store_changes& changes);
+    void list_evacuations(const store_listing& listing);
+    void change_evacuations(const store_changes& changes);
+
+private:
+    void apply_configuration(const stored_object& object);
+    std::optional<upstream_entry> read_upstream(const stored_object& object);
+    void publish_evacuations();
+
+    const store_schema& schema_;
+    route_holder& routes_;
+    upstream_registry& registry_;
+    std::function<void()> config_changed_;
+    std::set<std::string, std::less<>> evacuated_;
+};
+
+/** Follows every kind that a VM needs. */
+template <object_store Store>
+class store_sync {
+public:
+    store_sync(asio::io_context& io, Store& store, const store_schema& schema,
+               const entry_settings& settings, store_applier& applier, upstream_registry& registry,
+               random_engine& random)
+        : io_(io), store_(store), schema_(schema), settings_(settings),
+          configurations_(store, schema.configurations, {settings.store_watch, milliseconds{0}},
+                          {[] {}, [&applier](const auto& all) { applier.list_configurations(all); },
+                           [&applier](const auto& news) { applier.change_configurations(news); }},
+                          random),
+          upstreams_(store, schema.upstreams, {settings.store_watch, settings.store_gather},
+                     {[&registry] { registry.store_returned(boot_clock::now()); },
+                      [&applier](const auto& all) { applier.list_upstreams(all); },
+                      [&applier](const auto& news) { applier.change_upstreams(news); }},
+                     random),
+          evacuations_(store, schema.evacuations, {settings.store_watch, milliseconds{0}},
+                       {[] {}, [&applier](const auto& all) { applier.list_evacuations(all); },
+                        [&applier](const auto& news) { applier.change_evacuations(news); }},
+                       random)
+    {
+    }
+
+    void start()
+    {
+        start_task(io_.get_executor(), configurations_.run());
+        start_task(io_.get_executor(), upstreams_.run());
+        start_task(io_.get_executor(), evacuations_.run());
+    }
+
+    /** Everything was read at least once. */
+    [[nodiscard]] bool synced() const
+    {
+        return configurations_.synced() && upstreams_.synced() && evacuations_.synced();
+    }
+    /** When the store last told of upstreams. */
+    [[nodiscard]] local_time registry_seen() const { return upstreams_.last_answer(); }
+
+    /** Enters this VM, so that one whose seeds are all gone finds it, and greets those entered. */
+    task<> register_vm(member_gossip& gossip)
+    {
+        constexpr milliseconds retry_pause{1000};
+        for (bool done = false; !done;) {
+            try {
+                const nlohmann::json spec{{"address", address_of(settings_.callers_listen)}};
+                co_await store_.create(schema_.vms, settings_.vm_name, spec);
+                const auto listing = co_await store_.list(schema_.vms);
+                for (const auto& object : listing.objects) {
+                    gossip.greet(object.spec.value("address", ""));
+                }
+                done = true;
+            }
+            catch (const store_error& error) {
+                log_event(event::vm_not_registered, {{"reason", error.what()}});
+            }
+            catch (const nlohmann::json::exception& fault) {
+                log_event(event::vm_not_registered, {{"reason", fault.what()}});
+            }
+            co_await sleep_for(retry_pause);
+        }
+    }
+
+private:
+    asio::io_context& io_;
+    Store& store_;
+    const store_schema& schema_;
+    const entry_settings& settings_;
+    store_follower<Store> configurations_;
+    store_follower<Store> upstreams_;
+    store_follower<Store> evacuations_;
+};
+
+} // namespace sniperock
--- a/src/store_type.hpp
+++ b/src/store_type.hpp
@@ -1,93 +1,98 @@
-/** @file store_type.hpp What the platform's object store offers. */
+/** @file store_type.hpp Objects of the platform's store and how calls fail. */
 #pragma once
 
-#include "clock_type.hpp"
+#include "async_func.hpp"
+#include "enum_table.hpp"
+#include "strong_id.hpp"
 
+#include <nlohmann/json.hpp>
+
+#include <array>
 #include <concepts>
-#include <cstdint>
-#include <optional>
 #include <stdexcept>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace sniperock {
 
-/** Version of one object; grows with each write. 0 stands for an object that does not exist. */
-using object_version = std::uint64_t;
-
-/** Largest value of an object, in bytes. */
-inline constexpr std::size_t max_object_bytes = 1'048'576;
+/** One object of the store. */
+struct stored_object {
+    std::string name;
+    store_revision revision;
+    nlohmann::json spec;
+};
 
-/** An object as read. */
-struct store_object {
-    std::string value;
-    object_version version = 0;
+/** Every object of a kind. */
+struct store_listing {
+    std::vector<stored_object> objects;
+    /** The store's revision; a watch goes on from here. */
+    store_revision at;
 };
 
-/** How a conditional write ended. */
-enum class put_status {
-    /** Written. */
-    accepted,
-    /** Not written: the object had another version. */
-    conflict,
-    /** Not written: the store did not take the request. */
-    unavailable,
-    /** The reply was lost; the write may or may not have taken effect. */
-    unsure,
+/** One change of an object. */
+struct store_event {
+    stored_object object;
+    bool deleted = false;
 };
 
-/** Result of a conditional write. */
-struct put_result {
-    put_status status = put_status::unavailable;
-    /** The new version if accepted, the present one if known. */
-    object_version version = 0;
+/** What a watch has seen. */
+struct store_changes {
+    std::vector<store_event> events;
+    store_revision at;
 };
 
-/** State of a vm in the platform's lagging list. */
-enum class vm_state { live, leaving };
+/** Why a store call failed. */
+enum class store_failure {
+    /** No answer, or one that says that nothing was done. */
+    unavailable,
+    /** More calls than the store's rate. */
+    over_rate,
+    /** The history that a watch asked for is gone. */
+    history_gone,
+    /** The object is there already, or is not the revision that was named. */
+    conflict,
+    /** There is no such object. */
+    not_found,
+    /** The answer cannot be read. */
+    malformed,
+};
 
-/** One vm of the platform's list. */
-struct vm_record {
-    std::string name;
-    std::string failure_domain;
-    std::string peer_endpoint;
-    std::string caller_endpoint;
-    std::string admin_endpoint;
-    std::uint64_t incarnation = 0;
-    vm_state state = vm_state::live;
+template <>
+inline constexpr std::array enum_names<store_failure>{
+    enum_name<store_failure>{store_failure::unavailable, "unavailable"},
+    enum_name<store_failure>{store_failure::over_rate, "over-rate"},
+    enum_name<store_failure>{store_failure::history_gone, "history-gone"},
+    enum_name<store_failure>{store_failure::conflict, "conflict"},
+    enum_name<store_failure>{store_failure::not_found, "not-found"},
+    enum_name<store_failure>{store_failure::malformed, "malformed"},
 };
 
-/** The store did not answer a read, a watch or a listing. */
-class store_unavailable : public std::runtime_error {
+/** A store call failed. */
+class store_error : public std::runtime_error {
 public:
-    explicit store_unavailable(const std::string& what) : std::runtime_error(what) {}
+    store_error(store_failure failure, const std::string& what)
+        : std::runtime_error(what), failure_(failure)
+    {
+    }
+    [[nodiscard]] store_failure failure() const noexcept { return failure_; }
+
+private:
+    store_failure failure_;
 };
 
-/**
- * The object store as the product uses it.
- * get, watch and list_vms throw store_unavailable; put reports through its result.
- */
+/** A client of the store. Calls throw store_error. */
 template <typename T>
-concept object_store = requires(T& store, const std::string& key, const std::string& value,
-                                object_version version, milliseconds wait) {
+concept object_store = requires(T& store, const std::string& kind, store_revision at,
+                                milliseconds wait, const nlohmann::json& spec) {
     {
-        store.get(key)
-    } -> std::same_as<std::optional<store_object>>;
+        store.list(kind)
+    } -> std::same_as<task<store_listing>>;
     {
-        store.put(key, value, version)
-    } -> std::same_as<put_result>;
+        store.watch(kind, at, wait)
+    } -> std::same_as<task<store_changes>>;
     {
-        store.watch(key, version, wait)
-    } -> std::same_as<std::optional<store_object>>;
-    {
-        store.list_vms()
-    } -> std::same_as<std::vector<vm_record>>;
+        store.create(kind, kind, spec)
+    } -> std::same_as<task<>>;
 };
 
-/** An object store that also removes objects; remove throws store_unavailable. */
-template <typename T>
-concept removable_object_store =
-    object_store<T> && requires(T& store, const std::string& key) { store.remove(key); };
-
 } // namespace sniperock
--- /dev/null
+++ b/src/upstream_probe.cpp
@@ -0,0 +1,126 @@
+/** @file upstream_probe.cpp Asks upstreams for their load and health. */
+#include "upstream_probe.hpp"
+
+#include "event_type.hpp"
+#include "http_write.hpp"
+
+#include <algorithm>
+
+namespace sniperock {
+namespace {
+
+/** A probe without an answer for so long counts as silence; ten times a usual answer. */
+constexpr milliseconds answer_limit{250};
+constexpr int status_ok = 200;
+
+} // namespace
+
+upstream_prober::upstream_prober(asio::io_context& io, upstream_pool& pool,
+                                 const wire_dialect& dialect, metrics& measured)
+    : io_(io), pool_(pool), dialect_(dialect),
+      sent_(measured.counter("sniperock_probes_total", "Probes sent to upstreams",
+                             {{"what", "sent"}})),
+      unanswered_(measured.counter("sniperock_probes_total", "Probes sent to upstreams",
+                                   {{"what", "unanswered"}}))
+{
+}
+
+void upstream_prober::start(const std::shared_ptr<probe_round>& round, const upstream_ptr& target,
+                            const std::string& health_path)
+{
+    ++round->pending;
+    sent_.Increment();
+    target->probes.add(boot_clock::now());
+    start_task(io_.get_executor(), run(round, target, health_path));
+}
+
+task<> upstream_prober::run(std::shared_ptr<probe_round> round, upstream_ptr target,
+                            std::string health_path)
+{
+    auto connection = pool_.take_idle(*target, boot_clock::now());
+    const bool kept = connection != nullptr;
+    if (!kept) {
+        connection = pool_.make();
+    }
+    const bool answered = co_await ask(connection, target, std::move(health_path));
+    const auto now = boot_clock::now();
+    --round->pending;
+    if (!answered) {
+        connection->close();
+        unanswered_.Increment();
+        // A kept connection may have been dropped by something between the two ends; others that
+        // are as old are no better.
+        target->idle.clear();
+        if (!kept) {
+            target->failures.went_silent(now);
+            log_event(event::upstream_silent,
+                      {{"upstream", target->entry.id}, {"service", target->entry.service}});
+        }
+    }
+    else if (round->closed) {
+        pool_.put_back(*target, connection, now);
+    }
+    else {
+        round->answers.push_back({target, connection});
+    }
+    round->changed.notify();
+}
+
+/** One health request and its answer. @return false if none came. */
+task<bool> upstream_prober::ask(std::shared_ptr<upstream_connection> connection,
+                                upstream_ptr target, std::string health_path)
+{
+    const time_limit limit(io_.get_executor(), answer_limit,
+                           [&connection] { connection->close(); });
+    if (!connection->reused()) {
+        const bool connected = co_await connection->connect(target->entry.endpoint);
+        if (!connected) {
+            co_return false;
+        }
+    }
+    std::string request;
+    append_request_line(request, "GET", health_path);
+    append_header(request, "Host", target->entry.service);
+    request += "\r\n";
+    connection->send(request, false);
+    auto progress = co_await connection->read_head(dialect_.attempt_id, "-");
+    std::string body;
+    while (progress == read_progress::more) {
+        body.clear();
+        progress = co_await connection->read_body(body);
+    }
+    if (progress != read_progress::complete) {
+        co_return false;
+    }
+    take_answer(*target, connection->head());
+    co_return true;
+}
+
+void upstream_prober::take_answer(upstream& item, http_head& head) const
+{
+    const auto now = boot_clock::now();
+    const auto id = head.headers.find(dialect_.upstream_id);
+    if (id && *id != item.entry.id) {
+        item.unwell = true;
+        return;
+    }
+    item.unwell = head.status != status_ok;
+    item.failures.answered();
+    learn(item, head.headers, now);
+}
+
+void upstream_prober::learn(upstream& item, const http_headers& headers, local_time now) const
+{
+    if (const auto cold = headers.find(dialect_.cold_ms)) {
+        const auto left = parse_whole(cold->substr(0, cold->find('.')));
+        item.cold_until = left ? now + milliseconds{*left} : now;
+    }
+    const auto load = headers.find(dialect_.load);
+    if (const auto report = load ? dialect_.parse_load(*load) : std::nullopt) {
+        item.report = report;
+        item.reported_at = now;
+        item.sent_since_report = 0;
+    }
+}
+
+} // namespace sniperock
--- /dev/null
+++ b/src/upstream_registry.cpp
@@ -0,0 +1,125 @@
+/** @file upstream_registry.cpp The upstreams that may be used, from the store's registry. */
+#include "upstream_registry.hpp"
+
+#include <algorithm>
+#include <ranges>
+
+namespace sniperock {
+namespace {
+
+/** Removals without notice of more than this share at once are taken for lapsed leases. */
+constexpr double mass_share = 0.5;
+/** Fewer removals than this are never a mass. */
+constexpr std::size_t mass_least = 4;
+
+} // namespace
+
+void upstream_registry::replace_all(const std::vector<upstream_entry>& entries, local_time now)
+{
+    std::set<std::string_view> listed;
+    for (const auto& entry : entries) {
+        listed.insert(entry.id);
+        put(entry, now);
+    }
+    std::vector<std::string> missing;
+    std::ranges::copy_if(by_id_ | std::views::keys, std::back_inserter(missing),
+                         [&](const std::string& id) { return !listed.contains(id); });
+    std::ranges::for_each(missing, [&](const std::string& id) { remove(id, now); });
+}
+
+void upstream_registry::put(const upstream_entry& entry, local_time now)
+{
+    const auto found = by_id_.find(entry.id);
+    if (found == by_id_.end()) {
+        add(entry, now);
+        return;
+    }
+    auto& item = *found->second;
+    const bool same = item.entry.born_ms == entry.born_ms && item.entry.service == entry.service &&
+                      item.entry.endpoint == entry.endpoint && !item.gone;
+    if (!same) {
+        // Another life under the same id: nothing known of the old one holds.
+        drop(entry.id);
+        add(entry, now);
+        return;
+    }
+    item.lapsed_until.reset();
+    item.entry = entry;
+    item.cold_until = std::max(item.cold_until, now + entry.cold_remaining);
+}
+
+void upstream_registry::add(const upstream_entry& entry, local_time now)
+{
+    auto item = std::make_shared<upstream>();
+    item->entry = entry;
+    item->cold_until = now + entry.cold_remaining;
+    by_service_[entry.service].push_back(item);
+    by_id_.emplace(entry.id, std::move(item));
+}
+
+void upstream_registry::remove(std::string_view id, local_time now)
+{
+    const auto found = by_id_.find(id);
+    if (found == by_id_.end()) {
+        return;
+    }
+    auto& item = *found->second;
+    if (item.lapsed_until) {
+        return;
+    }
+    if (may_have_lapsed(item, now)) {
+        item.lapsed_until = std::max(grace_until_, now + return_grace_ / 2);
+        return;
+    }
+    drop(found->first);
+}
+
+/** True if the entry can have gone because its writer did not reach the store. */
+bool upstream_registry::may_have_lapsed(const upstream& item, local_time now)
+{
+    if (item.entry.draining) {
+        return false;
+    }
+    if (now < grace_until_) {
+        return true;
+    }
+    sudden_.add(now);
+    const auto removed = sudden_.count(now);
+    return removed >= mass_least &&
+           static_cast<double>(removed) > mass_share * static_cast<double>(by_id_.size());
+}
+
+void upstream_registry::expire(local_time now)
+{
+    std::vector<std::string> over;
+    for (const auto& [id, item] : by_id_) {
+        if (item->lapsed_until && *item->lapsed_until <= now) {
+            over.push_back(id);
+        }
+    }
+    std::ranges::for_each(over, [this](const std::string& id) { drop(id); });
+}
+
+void upstream_registry::disown(upstream& item)
+{
+    item.gone = true;
+    item.idle.clear();
+}
+
+void upstream_registry::drop(const std::string& id)
+{
+    const auto found = by_id_.find(id);
+    const auto item = found->second;
+    by_id_.erase(found);
+    disown(*item);
+    std::erase(by_service_[item->entry.service], item);
+}
+
+const std::vector<upstream_ptr>& upstream_registry::of_service(std::string_view service) const
+{
+    static const std::vector<upstream_ptr> none;
+    const auto found = by_service_.find(service);
+    return found == by_service_.end() ? none : found->second;
+}
+
+} // namespace sniperock
--- /dev/null
+++ b/src/wire_dialect.cpp
@@ -0,0 +1,124 @@
+/** @file wire_dialect.cpp The product's own dialect and helpers for all dialects. */
+#include "wire_dialect.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <ranges>
+
+namespace sniperock {
+namespace {
+
+/** Reads "running=1;waiting=0;slots=3;slowness=100"; the last in percent. */
+std::optional<load_report> parse_own_load(std::string_view text)
+{
+    load_report report;
+    for (const auto part : std::views::split(text, ';')) {
+        const std::string_view field(part.begin(), part.end());
+        const auto equals = field.find('=');
+        const auto value = parse_whole(field.substr(equals + 1));
+        if (equals == std::string_view::npos || !value) {
+            return std::nullopt;
+        }
+        const auto name = field.substr(0, equals);
+        if (name == "running") {
+            report.running = static_cast<unsigned>(*value);
+        }
+        else if (name == "waiting") {
+            report.waiting = static_cast<unsigned>(*value);
+        }
+        else if (name == "slots") {
+            report.slots = static_cast<unsigned>(*value);
+        }
+        else if (name == "slowness") {
+            report.slowness = static_cast<double>(*value) / 100;
+        }
+    }
+    return report;
+}
+
+directory_query parse_own_query(std::string_view target)
+{
+    return {query_value(target, "host"), query_value(target, "region"),
+            query_value(target, "near")};
+}
+
+std::string format_own_answer(const std::vector<std::string>& addresses, milliseconds ttl)
+{
+    return nlohmann::json{{"vms", addresses}, {"keep_ms", ttl.count()}}.dump();
+}
+
+int hex_digit(char ch)
+{
+    if (ch >= '0' && ch <= '9') {
+        return ch - '0';
+    }
+    const char lower = static_cast<char>(ch | 0x20);
+    return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+}
+
+std::string percent_decoded(std::string_view text)
+{
+    std::string result;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        const bool escape = text[at] == '%' && at + 2 < text.size() &&
+                            hex_digit(text[at + 1]) >= 0 && hex_digit(text[at + 2]) >= 0;
+        if (escape) {
+            result += static_cast<char>(hex_digit(text[at + 1]) * 16 + hex_digit(text[at + 2]));
+            at += 2;
+        }
+        else {
+            result += text[at] == '+' ? ' ' : text[at];
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+const wire_dialect& own_dialect()
+{
+    static const wire_dialect dialect{
+        .attempt_id = "X-Call-Id",
+        .deadline_ms = "X-Timeout-Ms",
+        .expected_upstream = "X-Expect-Upstream",
+        .signature = "X-Answer-Signature",
+        .load = "X-Upstream-Load",
+        .not_executed = "X-Not-Run",
+        .upstream_id = "X-Upstream-Id",
+        .cold_ms = "X-Cold-Ms",
+        .ready_path = "/readyz",
+        .directory_path = "/locate",
+        .parse_load = parse_own_load,
+        .parse_directory_query = parse_own_query,
+        .format_directory_answer = format_own_answer,
+    };
+    return dialect;
+}
+
+std::string query_value(std::string_view target, std::string_view name)
+{
+    const auto start = target.find('?');
+    if (start == std::string_view::npos) {
+        return {};
+    }
+    for (const auto part : std::views::split(target.substr(start + 1), '&')) {
+        const std::string_view field(part.begin(), part.end());
+        if (field.size() > name.size() && field.starts_with(name) && field[name.size()] == '=') {
+            return percent_decoded(field.substr(name.size() + 1));
+        }
+    }
+    return {};
+}
+
+std::optional<std::uint64_t> parse_whole(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+} // namespace sniperock
--- a/tools/install-deps.sh
+++ b/tools/install-deps.sh
@@ -4,11 +4,11 @@
 
 packages=(
     g++ cmake ninja-build ccache make
-    libasio-dev libnng-dev prometheus-cpp-dev libcpp-httplib-dev
-    libboost-program-options-dev libboost-dev libeasyloggingpp-dev catch2
+    libasio-dev prometheus-cpp-dev
+    libboost-program-options-dev libboost-dev catch2
     libmsgpack-cxx-dev libhttp-parser-dev nlohmann-json3-dev
-    libxxhash-dev libssl-dev libbenchmark-dev libinih-dev
-    clang-16 clang-format-16 clang-tidy-16 spin
+    libxxhash-dev libinih-dev
+    clang-16 clang-format-16 clang-tidy-16
     python3
 )
 
