--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -27,6 +27,7 @@
         acceptor_.set_option(asio::socket_base::reuse_address(true));
         acceptor_.bind(endpoint);
         acceptor_.listen();
+        port_ = acceptor_.local_endpoint().port();
     }
     catch (const std::system_error& fault) {
         throw listen_failed(endpoint.address().to_string() + ":" + std::to_string(endpoint.port()),
--- a/src/caller_server.hpp
+++ b/src/caller_server.hpp
@@ -22,7 +22,8 @@
 
     /** Listens. @throws listen_failed */
     void listen(const asio::ip::tcp::endpoint& endpoint);
-    [[nodiscard]] std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+    /** Known as long as this object lives, also after stop_accepting(). */
+    [[nodiscard]] std::uint16_t port() const { return port_; }
     /** What all sessions share; may be changed at any time. */
     [[nodiscard]] session_shared& shared() { return shared_; }
     /** Takes no more connections. */
@@ -44,6 +45,7 @@
     asio::io_context& io_;
     session_shared shared_;
     std::size_t max_connections_;
+    std::uint16_t port_ = 0;
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer pause_;
     std::vector<std::shared_ptr<caller_session>> sessions_;
