Fix: No request goes to an upstream that tells its load and could not be asked

Cause: a candidate whose probe was not allowed by the probe rate, or came too late, counted as empty by this VM's own requests; in an overload all VMs sent there (queues of 10 to 20 behind 3 slots).

--- a/src/call_picker.cpp
+++ b/src/call_picker.cpp
@@ -10,8 +10,6 @@
 /** Pause before upstreams are probed again while none has a free slot, with jitter. */
 constexpr milliseconds shortest_pause{6};
 constexpr milliseconds longest_pause{14};
-/** A report of a busy moment says nothing any more after so long. */
-constexpr milliseconds report_life{100};
 
 /** One search for an upstream. */
 class search {
@@ -121,8 +119,9 @@
     bool may_probe(upstream& item, local_time now) const
     {
         const auto vms = std::max<std::size_t>(context_.fleet.members.size(), 1);
-        const auto rate = static_cast<std::size_t>(context_.settings.probe_rate) / vms;
-        return item.probes.count(now) < std::max<std::size_t>(rate, 1);
+        const auto most =
+            static_cast<std::size_t>(context_.settings.probe_rate * probe_window.count()) / vms;
+        return item.probes.count(now) < std::max<std::size_t>(most, 1);
     }
 
     [[nodiscard]] bool found_ideal(const std::vector<candidate>& sample) const
@@ -170,8 +169,10 @@
         if (!context_.policy.probes()) {
             return true;
         }
-        const bool report_holds = item.report && now - item.reported_at < report_life;
-        return report_holds ? has_free_slot(item) : item.in_flight < item.entry.slots;
+        // An upstream that tells its load is not trusted without a fresh report: in an overload,
+        // those that could not be asked look empty, and all VMs would send there.
+        return item.report ? what.fresh && has_free_slot(item)
+                           : item.in_flight < item.entry.slots;
     }
 
     static constexpr int doubtful_odds = 8;
--- a/src/upstream_type.hpp
+++ b/src/upstream_type.hpp
@@ -16,6 +16,9 @@
 
 class upstream_connection;
 
+/** The bound on probes holds over a long time; this VM's are counted in such a window. */
+inline constexpr seconds probe_window{5};
+
 /** One upstream as it registered itself. */
 struct upstream_entry {
     std::string id;
@@ -84,7 +87,8 @@
     local_time cold_until;
     /** Requests of this VM in the last second while it was cold. */
     sliding_count cold_sends{milliseconds{1100}};
-    sliding_count probes{milliseconds{1000}};
+    /** Probes of this VM in the last seconds. */
+    sliding_count probes{probe_window};
     failure_record failures;
     /** Connections that wait for a request, the one used last at the back. */
     std::vector<std::shared_ptr<upstream_connection>> idle;
