Change: A request looks for an upstream that answers in time before it takes a slowed one

The choice now waits twice a usual probe while it has an upstream that will do, and a request looks on for 0.35 of its target while only slowed ones are free. Call lines tell what a choice was made on.

--- a/src/call.cpp
+++ b/src/call.cpp
@@ -105,10 +105,13 @@
 /** Finds an upstream and starts an attempt there. @return false if none takes the request. */
 task<bool> call::start_attempt(bool may_wait)
 {
-    const auto share = may_wait ? context_.settings.wait_share : 0;
-    const auto wait = std::chrono::duration_cast<nanoseconds>(route_->target_latency * share);
-    pick_request wanted{route_, service_, estimate_, tried_,
-                        std::min(exchange_->request().arrived + wait, deadline_ - least_left)};
+    pick_request wanted{route_,
+                        service_,
+                        estimate_,
+                        tried_,
+                        exchange_->request().arrived,
+                        may_wait,
+                        deadline_ - least_left};
     const std::shared_ptr<const bool> cancelled = over_;
     auto result = co_await pick_upstream(context_, std::move(wanted), cancelled);
     if (result.picked && (*over_ || time_left() < least_left)) {
@@ -190,6 +193,7 @@
         return nullptr;
     }
     auto attempt = *found;
+    last_attempt_ = attempt;
     attempts_.erase(found);
     return attempt;
 }
@@ -297,12 +301,16 @@
         return;
     }
     const auto took = boot_clock::now() - exchange_->request().arrived;
+    if (!last_attempt_ && !attempts_.empty()) {
+        last_attempt_ = attempts_.back();
+    }
     for (const auto& attempt : std::exchange(attempts_, {})) {
         attempt->cancel();
     }
     context_.measured.ended(service_, route_ == nullptr ? -1 : route_->priority, end,
                             std::chrono::duration<double>(took).count());
-    log_call({id_, route_, service_, end, status, sends_, runs_, whole_ms(took)},
+    log_call({id_, route_, service_, end, status, sends_, runs_, whole_ms(took),
+              last_attempt_.get(), exchange_->request().arrived},
              context_.settings);
 }
 
--- a/src/call.hpp
+++ b/src/call.hpp
@@ -52,6 +52,8 @@
     std::shared_ptr<async_signal> changed_;
     std::shared_ptr<bool> over_ = std::make_shared<bool>(false);
     std::vector<std::shared_ptr<call_attempt>> attempts_;
+    /** The attempt that ended last; for the log. */
+    std::shared_ptr<call_attempt> last_attempt_;
     std::set<std::string> tried_;
     /** Upstreams that the request was sent to; those beyond the first are repeats. */
     int sends_ = 0;
--- a/src/call_attempt.hpp
+++ b/src/call_attempt.hpp
@@ -36,6 +36,7 @@
     /** Set once it has ended, or passes a large answer on. */
     [[nodiscard]] std::optional<attempt_end> end() const { return end_; }
     [[nodiscard]] const upstream& target() const { return *picked_.target; }
+    [[nodiscard]] const choice_basis& basis() const { return picked_.basis; }
     [[nodiscard]] local_time started() const { return started_; }
     /** The request may have run. */
     [[nodiscard]] bool may_have_run() const
--- a/src/call_log.cpp
+++ b/src/call_log.cpp
@@ -18,6 +18,17 @@
 
 constexpr int first_client_error = 400;
 
+std::string ms_text(nanoseconds time)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
+}
+
+std::string percent_text(double factor)
+{
+    constexpr double percent = 100;
+    return std::to_string(static_cast<int>(factor * percent));
+}
+
 } // namespace
 
 void log_call(const call_summary& summary, const entry_settings& settings)
@@ -29,6 +40,8 @@
     if (well && !sampled(summary.id, settings.log_sample)) {
         return;
     }
+    const auto* const attempt = summary.attempt;
+    const choice_basis basis = attempt == nullptr ? choice_basis{} : attempt->basis();
     log_event(well ? event::call_ended : event::call_troubled,
               {{"id", summary.id},
                {"route", known ? summary.where->name : ""},
@@ -38,27 +51,33 @@
                {"sends", std::to_string(summary.sends)},
                {"runs", std::to_string(summary.runs)},
                {"ms", std::to_string(summary.took.count())},
-               {"target_ms", std::to_string(known ? summary.where->target_latency.count() : 0)}});
+               {"target_ms", std::to_string(known ? summary.where->target_latency.count() : 0)},
+               {"upstream", attempt == nullptr ? "" : attempt->target().entry.id},
+               {"sent_ms", attempt == nullptr ? "" : ms_text(attempt->started() - summary.arrived)},
+               {"busy", std::to_string(basis.busy)},
+               {"slots", std::to_string(basis.slots)},
+               {"slowness", percent_text(basis.slowness)},
+               {"cold", basis.cold ? "1" : "0"},
+               {"report_age_ms", basis.report_age ? ms_text(*basis.report_age) : ""},
+               {"looked_at", std::to_string(basis.looked_at)}});
 }
 
 void log_attempt(const std::string& id, const std::string& service, const call_attempt& attempt)
 {
-    const auto& target = attempt.target();
-    const auto now = boot_clock::now();
-    const auto ms = [](nanoseconds time) {
-        return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
-    };
+    const auto& basis = attempt.basis();
     log_event(event::attempt_failed,
               {{"id", id},
                {"service", service},
-               {"upstream", target.entry.id},
                {"end", std::string{to_name(attempt.end().value_or(attempt_end::cancelled))}},
                {"status", std::to_string(attempt.status())},
-               {"ms", ms(now - attempt.started())},
-               {"running", target.report ? std::to_string(target.report->running) : "?"},
-               {"waiting", target.report ? std::to_string(target.report->waiting) : "?"},
-               {"slots", std::to_string(target.entry.slots)},
-               {"report_age_ms", target.report ? ms(now - target.reported_at) : "?"}});
+               {"ms", ms_text(boot_clock::now() - attempt.started())},
+               {"upstream", attempt.target().entry.id},
+               {"busy", std::to_string(basis.busy)},
+               {"slots", std::to_string(basis.slots)},
+               {"slowness", percent_text(basis.slowness)},
+               {"cold", basis.cold ? "1" : "0"},
+               {"report_age_ms", basis.report_age ? ms_text(*basis.report_age) : ""},
+               {"looked_at", std::to_string(basis.looked_at)}});
 }
 
 } // namespace sniperock
--- a/src/call_log.hpp
+++ b/src/call_log.hpp
@@ -20,6 +20,9 @@
     int sends;
     int runs;
     milliseconds took;
+    /** The attempt that brought the answer, or the last one; null if none was made. */
+    const call_attempt* attempt;
+    local_time arrived;
 };
 
 /**
--- a/src/call_picker.cpp
+++ b/src/call_picker.cpp
@@ -1,6 +1,8 @@
 /** @file call_picker.cpp Finds the upstream for a request and waits for a free slot. */
 #include "call_picker.hpp"
 
+#include "choice_admission.hpp"
+
 #include <algorithm>
 #include <ranges>
 
@@ -11,6 +13,9 @@
 constexpr milliseconds shortest_pause{6};
 constexpr milliseconds longest_pause{14};
 
+/** A probe is late after so many times the usual time; most others come within it. */
+constexpr int usual_times = 2;
+
 /** One search for an upstream. */
 class search {
 public:
@@ -27,7 +32,7 @@
             if (picked || *cancelled) {
                 co_return pick_result{std::move(picked), pick_failure::none};
             }
-            if (boot_clock::now() >= request_.wait_until) {
+            if (refused_) {
                 co_return pick_result{std::nullopt, pick_failure::no_slot};
             }
             std::uniform_int_distribution<std::int64_t> pause{shortest_pause.count(),
@@ -101,12 +106,17 @@
                 context_.prober.start(round, kept_[what.item], health_path);
             }
         }
-        const auto until = begin + context_.settings.probe_timeout;
-        while (round->pending > 0 && boot_clock::now() < until && !found_ideal(sample)) {
-            co_await round->changed.wait_for(until - boot_clock::now());
+        const auto last = begin + context_.settings.probe_timeout;
+        const auto usual = begin + context_.prober.usual_time() * usual_times;
+        while (round->pending > 0 && !found_ideal(sample)) {
+            const auto until = can_answer_in_time(sample) ? std::min(usual, last) : last;
+            const auto now = boot_clock::now();
+            if (now >= until) {
+                break;
+            }
+            co_await round->changed.wait_for(until - now);
             refresh(sample);
         }
-        refresh(sample);
     }
 
     void refresh(std::vector<candidate>& sample) const
@@ -133,25 +143,69 @@
         });
     }
 
-    /** The best candidate that can take the request; its slot is counted as used. */
+    /** There is one that would do, if none of those that have not answered yet is better. */
+    [[nodiscard]] bool can_answer_in_time(const std::vector<candidate>& sample)
+    {
+        const auto now = boot_clock::now();
+        const std::chrono::duration<double, std::milli> left =
+            request_.arrived + request_.where->target_latency - now;
+        return std::ranges::any_of(sample, [&](const candidate& what) {
+            return what.fresh && can_take(what, now) &&
+                   expected_ms(what, request_.estimate, now) <= left.count();
+        });
+    }
+
+    /** The best candidate if the request takes it; its slot is counted as used. */
     std::optional<picked_upstream> choose(std::vector<candidate>& sample)
     {
         const auto now = boot_clock::now();
+        const auto looked_at = sample.size();
         std::erase_if(sample, [&](const candidate& what) { return !can_take(what, now); });
-        if (sample.empty()) {
-            return std::nullopt;
-        }
         const auto best = std::ranges::min_element(sample, {}, [&](const candidate& what) {
             return context_.policy.rank(what, request_.estimate, now);
         });
-        auto& item = *best->item;
-        const double slowness = item.report && best->fresh ? item.report->slowness : 1;
+        if (!admits(best == sample.end() ? nullptr : &*best, now)) {
+            return std::nullopt;
+        }
+        return take(*best, looked_at, now);
+    }
+
+    /** Decides whether the best candidate is taken, or the search goes on or ends. */
+    bool admits(const candidate* best, local_time now)
+    {
+        if (!context_.policy.probes()) {
+            refused_ = best == nullptr;
+            return best != nullptr;
+        }
+        admission_input input{now - request_.arrived,
+                              request_.where->target_latency,
+                              {},
+                              context_.settings.wait_share,
+                              context_.settings.search_share};
+        if (best != nullptr) {
+            input.best_ms = expected_ms(*best, request_.estimate, now);
+        }
+        const bool search_over = !request_.may_wait || now >= request_.deadline;
+        const auto verdict = decide_admission(input);
+        refused_ = best == nullptr && (verdict == admission::refuse || search_over);
+        return best != nullptr && (verdict == admission::take || search_over);
+    }
+
+    picked_upstream take(const candidate& best, std::size_t looked_at, local_time now)
+    {
+        auto& item = *best.item;
+        choice_basis basis{busy_slots(item), item.entry.slots, 1, is_cold(item, now), {},
+                           looked_at};
+        if (item.report) {
+            basis.slowness = item.report->slowness;
+            basis.report_age = now - item.reported_at;
+        }
         ++item.in_flight;
         ++item.sent_since_report;
-        if (is_cold(item, now)) {
+        if (basis.cold) {
             item.cold_sends.add(now);
         }
-        return picked_upstream{kept_[best->item], nullptr, slowness};
+        return {kept_[best.item], nullptr, basis};
     }
 
     bool can_take(const candidate& what, local_time now)
@@ -171,8 +225,7 @@
         }
         // An upstream that tells its load is not trusted without a fresh report: in an overload,
         // those that could not be asked look empty, and all VMs would send there.
-        return item.report ? what.fresh && has_free_slot(item)
-                           : item.in_flight < item.entry.slots;
+        return item.report ? what.fresh && has_free_slot(item) : item.in_flight < item.entry.slots;
     }
 
     static constexpr int doubtful_odds = 8;
@@ -181,6 +234,8 @@
     pick_request& request_;
     /** Reports that came since then are fresh. */
     local_time fresh_since_;
+    /** There is no free slot, and it does not wait for one. */
+    bool refused_ = false;
     /** Keeps the candidates alive while the search waits. */
     std::map<upstream*, upstream_ptr> kept_;
 };
--- a/src/call_picker.hpp
+++ b/src/call_picker.hpp
@@ -11,13 +11,26 @@
 
 namespace sniperock {
 
+/** What a choice was made on; logged with its outcome. */
+struct choice_basis {
+    /** Requests that ran or waited there. */
+    unsigned busy = 0;
+    unsigned slots = 0;
+    double slowness = 1;
+    bool cold = false;
+    /** Age of the report; empty if there was none. */
+    std::optional<nanoseconds> report_age;
+    /** Upstreams that were looked at. */
+    std::size_t looked_at = 0;
+};
+
 /** An upstream that takes the request; the slot is counted as used until release_slot(). */
 struct picked_upstream {
     upstream_ptr target;
     /** A connection that has just answered a probe; null if there is none. */
     std::shared_ptr<upstream_connection> connection;
-    /** Slowness that it reported. */
-    double slowness = 1;
+    /** What was known of it when it was chosen. */
+    choice_basis basis;
 };
 
 /** What is asked of the picker. */
@@ -27,8 +40,12 @@
     request_estimate estimate;
     /** Ids of upstreams that have had the request. */
     std::set<std::string> tried;
-    /** Up to when the request may wait for a free slot. */
-    local_time wait_until;
+    /** When the request arrived. */
+    local_time arrived;
+    /** It may wait for a free slot and look for a faster upstream. */
+    bool may_wait = true;
+    /** The search ends at this time at the latest. */
+    local_time deadline;
 };
 
 /** Why there is no upstream. */
--- a/src/settings_type.hpp
+++ b/src/settings_type.hpp
@@ -40,6 +40,7 @@
     milliseconds probe_fresh{};
     std::int64_t probe_rate{};
     double wait_share{};
+    double search_share{};
     double retry_ratio{};
     std::int64_t retry_slack{};
     milliseconds retry_window{};
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -31,16 +31,24 @@
     event_descriptor{event::log_lines_dropped, event_level::warning, "process", "log_lines_dropped",
                      "lines", "Lines were dropped, by the buffer's limit or the rate limit."},
     // 2xx: calls.
-    event_descriptor{event::call_ended, event_level::info, "calls", "call_ended",
-                     "id route service end status sends runs ms target_ms",
-                     "A call went well; a share of them is logged, by id."},
-    event_descriptor{event::call_troubled, event_level::info, "calls", "call_troubled",
-                     "id route service end status sends runs ms target_ms",
-                     "A call was refused, failed, was sent more than once, or was late."},
-    event_descriptor{event::attempt_failed, event_level::info, "calls", "attempt_failed",
-                     "id service upstream end status ms running waiting slots report_age_ms",
-                     "An attempt did not bring the answer; the last five fields are what the "
-                     "choice knew of the upstream."},
+    event_descriptor{
+        event::call_ended, event_level::info, "calls", "call_ended",
+        "id route service end status sends runs ms target_ms upstream sent_ms busy slots "
+        "slowness cold report_age_ms looked_at",
+        "A call went well; a share of them is logged, by id."},
+    event_descriptor{
+        event::call_troubled, event_level::info, "calls", "call_troubled",
+        "id route service end status sends runs ms target_ms upstream sent_ms busy slots "
+        "slowness cold report_age_ms looked_at",
+        "A call was refused, failed, was sent more than once, or was late; sent_ms is "
+        "when it was sent, the rest as for attempt_failed."},
+    event_descriptor{
+        event::attempt_failed, event_level::info, "calls", "attempt_failed",
+        "id service end status ms upstream busy slots slowness cold report_age_ms "
+        "looked_at",
+        "An attempt did not bring the answer; from upstream on, the fields are what the "
+        "choice was made on: requests there, slots, slowness in percent, age of the "
+        "report, upstreams looked at."},
     // 3xx: upstreams.
     event_descriptor{event::upstream_silent, event_level::info, "upstreams", "upstream_silent",
                      "upstream service", "A probe on a new connection had no answer."},
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -94,6 +94,9 @@
     setting_descriptor{"choice", "wait_share", &entry_settings::wait_share, "of the target", "0.12",
                        0, 10, setting_flag::optional,
                        "How long a request waits here for a free slot"},
+    setting_descriptor{"choice", "search_share", &entry_settings::search_share, "of the target",
+                       "0.35", 0, 10, setting_flag::optional,
+                       "How long a request looks on while only slowed upstreams are free"},
     // Second tries.
     setting_descriptor{"retries", "ratio", &entry_settings::retry_ratio, "per request", "0.2", 0,
                        10, setting_flag::optional,
--- a/src/upstream_probe.cpp
+++ b/src/upstream_probe.cpp
@@ -11,6 +11,8 @@
 
 /** A probe without an answer for so long counts as silence; ten times a usual answer. */
 constexpr milliseconds answer_limit{250};
+/** The usual time is an average over about so many probes. */
+constexpr int time_averaged_over = 32;
 constexpr int status_ok = 200;
 
 } // namespace
@@ -82,6 +84,7 @@
     append_request_line(request, "GET", health_path);
     append_header(request, "Host", target->entry.service);
     request += "\r\n";
+    const auto sent_at = boot_clock::now();
     connection->send(request, false);
     auto progress = co_await connection->read_head(dialect_.attempt_id, "-");
     std::string body;
@@ -92,6 +95,7 @@
     if (progress != read_progress::complete) {
         co_return false;
     }
+    usual_time_ += (boot_clock::now() - sent_at - usual_time_) / time_averaged_over;
     take_answer(*target, connection->head());
     co_return true;
 }
--- a/src/upstream_probe.hpp
+++ b/src/upstream_probe.hpp
@@ -45,6 +45,8 @@
                const std::string& health_path);
     /** Takes over what an answer says of its upstream. */
     void learn(upstream& item, const http_headers& headers, local_time now) const;
+    /** Time that probes take on average. */
+    [[nodiscard]] nanoseconds usual_time() const { return usual_time_; }
 
 private:
     task<> run(std::shared_ptr<probe_round> round, upstream_ptr target, std::string health_path);
@@ -55,6 +57,8 @@
     asio::io_context& io_;
     upstream_pool& pool_;
     const wire_dialect& dialect_;
+    /** Before the first answer: a round trip within a region and an upstream's own time. */
+    nanoseconds usual_time_ = milliseconds{8};
     prometheus::Counter& sent_;
     prometheus::Counter& unanswered_;
 };
