--- a/src/call_picker.cpp
+++ b/src/call_picker.cpp
@@ -2,6 +2,7 @@
 #include "call_picker.hpp"
 
 #include "choice_admission.hpp"
+#include "choice_subset.hpp"
 
 #include <algorithm>
 #include <ranges>
@@ -66,7 +67,9 @@
         if (good.empty() || dice(context_.random) == 1) {
             good.insert(good.end(), doubtful.begin(), doubtful.end());
         }
-        return good;
+        const auto most = static_cast<std::size_t>(context_.settings.subset);
+        probing_part_ = good.size() <= most ? 1 : most / static_cast<double>(good.size());
+        return stable_subset(std::move(good), most, context_.settings.vm_name);
     }
 
     /** Looks at some candidates. @return the one that takes the request, if any can. */
@@ -126,12 +129,14 @@
         }
     }
 
+    /** True if this VM's share of the probes that the upstream may get allows one more. */
     bool may_probe(upstream& item, local_time now) const
     {
-        const auto vms = std::max<std::size_t>(context_.fleet.members.size(), 1);
-        const auto most =
-            static_cast<std::size_t>(context_.settings.probe_rate * probe_window.count()) / vms;
-        return item.probes.count(now) < std::max<std::size_t>(most, 1);
+        const double vms =
+            std::max(static_cast<double>(context_.fleet.members.size()) * probing_part_, 1.0);
+        const double most = static_cast<double>(context_.settings.probe_rate) *
+                            static_cast<double>(probe_window.count()) / vms;
+        return static_cast<double>(item.probes.count(now)) < std::max(most, 1.0);
     }
 
     [[nodiscard]] bool found_ideal(const std::vector<candidate>& sample) const
@@ -234,6 +239,8 @@
     pick_request& request_;
     /** Reports that came since then are fresh. */
     local_time fresh_since_;
+    /** Part of the VMs that work with the same upstream. */
+    double probing_part_ = 1;
     /** There is no free slot, and it does not wait for one. */
     bool refused_ = false;
     /** Keeps the candidates alive while the search waits. */
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -28,6 +28,8 @@
 constexpr milliseconds reload_period{1000};
 /** A VM knows the fleet well enough for its shares after so long. */
 constexpr milliseconds settle_time{2500};
+/** How often a VM that knows no other looks for the fleet in the store. */
+constexpr seconds lonely_search_period{5};
 /** A leaving VM takes new connections for this part of the stop limit: callers keep directory
  * answers for some seconds. */
 constexpr double accept_part = 0.75;
@@ -123,7 +125,6 @@
         start_task(io.get_executor(), gossip.send_heartbeats());
         start_task(io.get_executor(), gossip.receive_heartbeats());
         sync.start();
-        start_task(io.get_executor(), sync.register_vm(gossip));
         signals.add(SIGTERM);
         signals.add(SIGINT);
         signals.add(SIGHUP);
@@ -229,12 +230,28 @@
             log_event(event::members_changed,
                       {{"alive", std::to_string(alive.size())}, {"ready", std::to_string(ready)}});
         }
+        if (calls.fleet.settled) {
+            keep_findable(alive, now);
+        }
         if (now >= next_reload) {
             next_reload = now + reload_period;
             reload();
         }
     }
 
+    /** Sees to it that VMs whose seeds are gone find each other. */
+    void keep_findable(const std::vector<member_entry>& alive, local_time now)
+    {
+        const auto lowest = std::ranges::min_element(alive, {}, &member_entry::address);
+        if (lowest->address == members.self().address) {
+            start_task(io.get_executor(), sync.register_vm());
+        }
+        if (alive.size() == 1 && now >= next_search) {
+            next_search = now + lonely_search_period;
+            start_task(io.get_executor(), sync.greet_registered(gossip));
+        }
+    }
+
     /** After a freeze or a suspend nothing that was known or open before can be relied on. */
     void stood_still(local_time now)
     {
@@ -343,6 +360,7 @@
     local_time last_tick;
     local_time next_second;
     local_time next_reload;
+    local_time next_search;
     local_time leave_began;
     std::size_t alive_logged = 0;
     std::ptrdiff_t ready_logged = 0;
--- a/src/settings_type.hpp
+++ b/src/settings_type.hpp
@@ -36,6 +36,7 @@
     milliseconds stop_limit{};
     std::string policy;
     std::int64_t probe_count{};
+    std::int64_t subset{};
     milliseconds probe_timeout{};
     milliseconds probe_fresh{};
     std::int64_t probe_rate{};
--- a/src/store_follower.hpp
+++ b/src/store_follower.hpp
@@ -27,6 +27,9 @@
     milliseconds watch{25'000};
     /** Least time between two watch calls; changes meanwhile come together. */
     milliseconds gather{0};
+    /** The first listing may be old: the watch that follows tells what it lacks. Later ones are
+     * fresh, since the history that would tell it may be gone. */
+    read_mode first_listing = read_mode::fresh;
     /** Without an answer for so long, the store counts as lost. */
     milliseconds lost_after{1000};
 };
@@ -72,7 +75,8 @@
     task<> follow()
     {
         if (!listed_) {
-            const auto listing = co_await store_.list(kind_);
+            const auto mode = std::exchange(times_.first_listing, read_mode::fresh);
+            const auto listing = co_await store_.list(kind_, mode);
             note_answer();
             at_ = listing.at;
             listed_ = true;
--- a/src/store_sync.hpp
+++ b/src/store_sync.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace sniperock {
 
@@ -54,12 +55,14 @@
                           {[] {}, [&applier](const auto& all) { applier.list_configurations(all); },
                            [&applier](const auto& news) { applier.change_configurations(news); }},
                           random),
-          upstreams_(store, schema.upstreams, {settings.store_watch, settings.store_gather},
+          upstreams_(store, schema.upstreams,
+                     {settings.store_watch, settings.store_gather, read_mode::stale},
                      {[&registry] { registry.store_returned(boot_clock::now()); },
                       [&applier](const auto& all) { applier.list_upstreams(all); },
                       [&applier](const auto& news) { applier.change_upstreams(news); }},
                      random),
-          evacuations_(store, schema.evacuations, {settings.store_watch, milliseconds{0}},
+          evacuations_(store, schema.evacuations,
+                       {settings.store_watch, milliseconds{0}, read_mode::stale},
                        {[] {}, [&applier](const auto& all) { applier.list_evacuations(all); },
                         [&applier](const auto& news) { applier.change_evacuations(news); }},
                        random)
@@ -81,27 +84,39 @@
     /** When the store last told of upstreams. */
     [[nodiscard]] local_time registry_seen() const { return upstreams_.last_answer(); }
 
-    /** Enters this VM, so that one whose seeds are all gone finds it, and greets those entered. */
-    task<> register_vm(member_gossip& gossip)
+    /**
+     * Enters this VM in the store, where a VM whose seeds are all gone looks for the fleet. Only
+     * the VM with the lowest address of those that know each other needs to be there.
+     */
+    task<> register_vm()
     {
-        constexpr milliseconds retry_pause{1000};
-        for (bool done = false; !done;) {
-            try {
-                const nlohmann::json spec{{"address", address_of(settings_.callers_listen)}};
-                co_await store_.create(schema_.vms, settings_.vm_name, spec);
-                const auto listing = co_await store_.list(schema_.vms);
-                for (const auto& object : listing.objects) {
-                    gossip.greet(object.spec.value("address", ""));
-                }
-                done = true;
-            }
-            catch (const store_error& error) {
-                log_event(event::vm_not_registered, {{"reason", error.what()}});
-            }
-            catch (const nlohmann::json::exception& fault) {
-                log_event(event::vm_not_registered, {{"reason", fault.what()}});
+        if (std::exchange(registered_, true)) {
+            co_return;
+        }
+        try {
+            const nlohmann::json spec{{"address", address_of(settings_.callers_listen)}};
+            co_await store_.create(schema_.vms, settings_.vm_name, spec);
+        }
+        catch (const store_error& error) {
+            registered_ = false;
+            log_event(event::vm_not_registered, {{"reason", error.what()}});
+        }
+    }
+
+    /** Greets the VMs that are entered in the store. */
+    task<> greet_registered(member_gossip& gossip)
+    {
+        try {
+            const auto listing = co_await store_.list(schema_.vms, read_mode::fresh);
+            for (const auto& object : listing.objects) {
+                gossip.greet(object.spec.value("address", ""));
             }
-            co_await sleep_for(retry_pause);
+        }
+        catch (const store_error& error) {
+            log_event(event::vm_not_registered, {{"reason", error.what()}});
+        }
+        catch (const nlohmann::json::exception& fault) {
+            log_event(event::vm_not_registered, {{"reason", fault.what()}});
         }
     }
 
@@ -113,6 +128,7 @@
     store_follower<Store> configurations_;
     store_follower<Store> upstreams_;
     store_follower<Store> evacuations_;
+    bool registered_ = false;
 };
 
 } // namespace sniperock
--- a/src/store_type.hpp
+++ b/src/store_type.hpp
@@ -80,12 +80,20 @@
     store_failure failure_;
 };
 
+/** How new the answer to a listing has to be. */
+enum class read_mode {
+    /** As of the call. */
+    fresh,
+    /** May be seconds old; costs the store less. */
+    stale,
+};
+
 /** A client of the store. Calls throw store_error. */
 template <typename T>
 concept object_store = requires(T& store, const std::string& kind, store_revision at,
                                 milliseconds wait, const nlohmann::json& spec) {
     {
-        store.list(kind)
+        store.list(kind, read_mode::fresh)
     } -> std::same_as<task<store_listing>>;
     {
         store.watch(kind, at, wait)
