Change: Probes are bounded over all upstreams, and requests that would be late are refused

The share is one bucket over all upstreams. With it more requests took slowed slots and last slots in an overload; a request that only finds slots that answer late now looks on and is then refused.

--- a/src/call.cpp
+++ b/src/call.cpp
@@ -114,6 +114,7 @@
                         deadline_ - least_left};
     const std::shared_ptr<const bool> cancelled = over_;
     auto result = co_await pick_upstream(context_, std::move(wanted), cancelled);
+    search_ = result.record;
     if (result.picked && (*over_ || time_left() < least_left)) {
         release_slot(*result.picked->target);
         if (result.picked->connection) {
@@ -310,7 +311,7 @@
     context_.measured.ended(service_, route_ == nullptr ? -1 : route_->priority, end,
                             std::chrono::duration<double>(took).count());
     log_call({id_, route_, service_, end, status, sends_, runs_, whole_ms(took),
-              last_attempt_.get(), exchange_->request().arrived},
+              last_attempt_.get(), search_, exchange_->request().arrived},
              context_.settings);
 }
 
--- a/src/call.hpp
+++ b/src/call.hpp
@@ -61,6 +61,7 @@
     int runs_ = 0;
     bool hedged_ = false;
     pick_failure pick_failure_ = pick_failure::none;
+    search_record search_;
     /** A failure that an upstream answered, passed on if nothing better comes. */
     std::shared_ptr<call_attempt> failure_answer_;
 };
--- a/src/call_attempt.cpp
+++ b/src/call_attempt.cpp
@@ -145,6 +145,7 @@
     }
     answer_.status = head.status;
     answer_.headers = head.headers;
+    judged_ = true;
     return attempt_end::answered;
 }
 
--- a/src/call_attempt.hpp
+++ b/src/call_attempt.hpp
@@ -44,7 +44,7 @@
         return sent_ && end_ != attempt_end::not_executed && end_ != attempt_end::misdirected;
     }
     /** Status of the answer; 0 if there is none. */
-    [[nodiscard]] int status() const { return answer_.status; }
+    [[nodiscard]] int status() const { return judged_ ? answer_.status : 0; }
     [[nodiscard]] const caller_answer& answer() const { return answer_; }
     /** A large answer is ready to be passed on; the call lets it go on. */
     void let_stream() { may_stream_->notify(); }
@@ -67,6 +67,8 @@
     local_time started_;
     std::optional<attempt_end> end_;
     bool sent_ = false;
+    /** The head of an answer was taken over. */
+    bool judged_ = false;
     bool cancelled_ = false;
 };
 
--- a/src/call_context.hpp
+++ b/src/call_context.hpp
@@ -4,6 +4,7 @@
 #include "call_metrics.hpp"
 #include "choice_estimate.hpp"
 #include "choice_policy.hpp"
+#include "choice_probe_budget.hpp"
 #include "cold_limit.hpp"
 #include "fleet_share.hpp"
 #include "random_type.hpp"
@@ -38,6 +39,7 @@
     random_engine& random;
     route_splitter splitter;
     choice_estimates estimates;
+    probe_budget probes;
     /** The fleet as heartbeats show it; refreshed every second. */
     fleet_view fleet;
     std::map<std::string, retry_budget, std::less<>> budgets;
--- a/src/call_log.cpp
+++ b/src/call_log.cpp
@@ -59,7 +59,11 @@
                {"slowness", percent_text(basis.slowness)},
                {"cold", basis.cold ? "1" : "0"},
                {"report_age_ms", basis.report_age ? ms_text(*basis.report_age) : ""},
-               {"looked_at", std::to_string(basis.looked_at)}});
+               {"looks", std::to_string(summary.search.looks)},
+               {"looked_at", std::to_string(summary.search.looked_at)},
+               {"unknown", std::to_string(summary.search.unknown)},
+               {"full", std::to_string(summary.search.full)},
+               {"cold_held", std::to_string(summary.search.cold_held)}});
 }
 
 void log_attempt(const std::string& id, const std::string& service, const call_attempt& attempt)
@@ -76,8 +80,7 @@
                {"slots", std::to_string(basis.slots)},
                {"slowness", percent_text(basis.slowness)},
                {"cold", basis.cold ? "1" : "0"},
-               {"report_age_ms", basis.report_age ? ms_text(*basis.report_age) : ""},
-               {"looked_at", std::to_string(basis.looked_at)}});
+               {"report_age_ms", basis.report_age ? ms_text(*basis.report_age) : ""}});
 }
 
 } // namespace sniperock
--- a/src/call_log.hpp
+++ b/src/call_log.hpp
@@ -22,6 +22,8 @@
     milliseconds took;
     /** The attempt that brought the answer, or the last one; null if none was made. */
     const call_attempt* attempt;
+    /** The last search for an upstream. */
+    search_record search;
     local_time arrived;
 };
 
--- a/src/call_picker.cpp
+++ b/src/call_picker.cpp
@@ -17,6 +17,9 @@
 /** A probe is late after so many times the usual time; most others come within it. */
 constexpr int usual_times = 2;
 
+/** Requests do not look again when less than this part of the probes is left. */
+constexpr double kept_for_first_look = 0.3;
+
 /** One search for an upstream. */
 class search {
 public:
@@ -27,14 +30,14 @@
         for (;;) {
             const auto all = candidates();
             if (all.empty()) {
-                co_return pick_result{std::nullopt, pick_failure::no_upstream};
+                co_return pick_result{std::nullopt, pick_failure::no_upstream, record_};
             }
             auto picked = co_await look(all);
             if (picked || *cancelled) {
-                co_return pick_result{std::move(picked), pick_failure::none};
+                co_return pick_result{std::move(picked), pick_failure::none, record_};
             }
             if (refused_) {
-                co_return pick_result{std::nullopt, pick_failure::no_slot};
+                co_return pick_result{std::nullopt, pick_failure::no_slot, record_};
             }
             std::uniform_int_distribution<std::int64_t> pause{shortest_pause.count(),
                                                               longest_pause.count()};
@@ -68,7 +71,6 @@
             good.insert(good.end(), doubtful.begin(), doubtful.end());
         }
         const auto most = static_cast<std::size_t>(context_.settings.subset);
-        probing_part_ = good.size() <= most ? 1 : most / static_cast<double>(good.size());
         return stable_subset(std::move(good), most, context_.settings.vm_name);
     }
 
@@ -105,9 +107,13 @@
         fresh_since_ = begin - context_.settings.probe_fresh;
         refresh(sample);
         for (auto& what : sample) {
-            if (!what.fresh && may_probe(*what.item, begin)) {
-                context_.prober.start(round, kept_[what.item], health_path);
+            if (what.fresh) {
+                continue;
             }
+            if (!may_probe(begin)) {
+                break;
+            }
+            context_.prober.start(round, kept_[what.item], health_path);
         }
         const auto last = begin + context_.settings.probe_timeout;
         const auto usual = begin + context_.prober.usual_time() * usual_times;
@@ -129,14 +135,12 @@
         }
     }
 
-    /** True if this VM's share of the probes that the upstream may get allows one more. */
-    bool may_probe(upstream& item, local_time now) const
+    /** True if this VM's share of the fleet's probes allows one more. */
+    bool may_probe(local_time now)
     {
-        const double vms =
-            std::max(static_cast<double>(context_.fleet.members.size()) * probing_part_, 1.0);
-        const double most = static_cast<double>(context_.settings.probe_rate) *
-                            static_cast<double>(probe_window.count()) / vms;
-        return static_cast<double>(item.probes.count(now)) < std::max(most, 1.0);
+        return context_.probes.spend({static_cast<double>(context_.settings.probe_rate),
+                                      context_.registry.size(), context_.fleet.members.size()},
+                                     now);
     }
 
     [[nodiscard]] bool found_ideal(const std::vector<candidate>& sample) const
@@ -164,15 +168,20 @@
     std::optional<picked_upstream> choose(std::vector<candidate>& sample)
     {
         const auto now = boot_clock::now();
-        const auto looked_at = sample.size();
-        std::erase_if(sample, [&](const candidate& what) { return !can_take(what, now); });
+        ++record_.looks;
+        record_.looked_at += sample.size();
+        std::erase_if(sample, [&](const candidate& what) {
+            const auto verdict = judge(what, now);
+            note(verdict);
+            return verdict != fitness::fit;
+        });
         const auto best = std::ranges::min_element(sample, {}, [&](const candidate& what) {
             return context_.policy.rank(what, request_.estimate, now);
         });
         if (!admits(best == sample.end() ? nullptr : &*best, now)) {
             return std::nullopt;
         }
-        return take(*best, looked_at, now);
+        return take(*best, now);
     }
 
     /** Decides whether the best candidate is taken, or the search goes on or ends. */
@@ -190,17 +199,18 @@
         if (best != nullptr) {
             input.best_ms = expected_ms(*best, request_.estimate, now);
         }
-        const bool search_over = !request_.may_wait || now >= request_.deadline;
+        // What is left of the probes is kept for requests that have not looked at all.
+        const bool few_probes = context_.probes.fill() < kept_for_first_look;
+        const bool search_over = !request_.may_wait || few_probes || now >= request_.deadline;
         const auto verdict = decide_admission(input);
-        refused_ = best == nullptr && (verdict == admission::refuse || search_over);
+        refused_ = verdict == admission::refuse || (best == nullptr && search_over);
         return best != nullptr && (verdict == admission::take || search_over);
     }
 
-    picked_upstream take(const candidate& best, std::size_t looked_at, local_time now)
+    picked_upstream take(const candidate& best, local_time now)
     {
         auto& item = *best.item;
-        choice_basis basis{busy_slots(item), item.entry.slots, 1, is_cold(item, now), {},
-                           looked_at};
+        choice_basis basis{busy_slots(item), item.entry.slots, 1, is_cold(item, now), {}};
         if (item.report) {
             basis.slowness = item.report->slowness;
             basis.report_age = now - item.reported_at;
@@ -213,34 +223,53 @@
         return {kept_[best.item], nullptr, basis};
     }
 
-    bool can_take(const candidate& what, local_time now)
+    /** Whether a candidate can take the request, or why not. */
+    enum class fitness { fit, unusable, cold_held, unknown, full };
+
+    fitness judge(const candidate& what, local_time now)
     {
         auto& item = *what.item;
         if (!context_.registry.usable(item)) {
-            return false;
+            return fitness::unusable;
         }
         const auto* service = context_.routes.table()->find_service(request_.service);
-        const bool cold = is_cold(item, now);
-        if (cold && !cold_allows(item, context_.cold_bounds_of(service), context_.fleet, now)) {
-            context_.measured.cold_denied.Increment();
-            return false;
+        if (is_cold(item, now) &&
+            !cold_allows(item, context_.cold_bounds_of(service), context_.fleet, now)) {
+            return fitness::cold_held;
         }
         if (!context_.policy.probes()) {
-            return true;
+            return fitness::fit;
+        }
+        if (item.report && !what.fresh) {
+            // In an overload, those that could not be asked look empty: all would send there.
+            return fitness::unknown;
+        }
+        const bool free = item.report ? has_free_slot(item) : item.in_flight < item.entry.slots;
+        return free ? fitness::fit : fitness::full;
+    }
+
+    bool can_take(const candidate& what, local_time now)
+    {
+        return judge(what, now) == fitness::fit;
+    }
+
+    void note(fitness verdict)
+    {
+        record_.unknown += verdict == fitness::unknown ? 1 : 0;
+        record_.full += verdict == fitness::full ? 1 : 0;
+        record_.cold_held += verdict == fitness::cold_held ? 1 : 0;
+        if (verdict == fitness::cold_held) {
+            context_.measured.cold_denied.Increment();
         }
-        // An upstream that tells its load is not trusted without a fresh report: in an overload,
-        // those that could not be asked look empty, and all VMs would send there.
-        return item.report ? what.fresh && has_free_slot(item) : item.in_flight < item.entry.slots;
     }
 
     static constexpr int doubtful_odds = 8;
 
     call_context& context_;
     pick_request& request_;
+    search_record record_;
     /** Reports that came since then are fresh. */
     local_time fresh_since_;
-    /** Part of the VMs that work with the same upstream. */
-    double probing_part_ = 1;
     /** There is no free slot, and it does not wait for one. */
     bool refused_ = false;
     /** Keeps the candidates alive while the search waits. */
--- a/src/call_picker.hpp
+++ b/src/call_picker.hpp
@@ -20,8 +20,17 @@
     bool cold = false;
     /** Age of the report; empty if there was none. */
     std::optional<nanoseconds> report_age;
-    /** Upstreams that were looked at. */
+};
+
+/** What a search for an upstream met; logged with the call. */
+struct search_record {
+    /** Times that upstreams were looked at, and how many in all. */
+    std::size_t looks = 0;
     std::size_t looked_at = 0;
+    /** Of these: had no fresh report, were full, were held back because they are cold. */
+    std::size_t unknown = 0;
+    std::size_t full = 0;
+    std::size_t cold_held = 0;
 };
 
 /** An upstream that takes the request; the slot is counted as used until release_slot(). */
@@ -54,6 +63,7 @@
 struct pick_result {
     std::optional<picked_upstream> picked;
     pick_failure failure = pick_failure::none;
+    search_record record;
 };
 
 /** Counts a request out of its upstream. */
--- a/src/choice_admission.cpp
+++ b/src/choice_admission.cpp
@@ -13,10 +13,10 @@
         return waited < target * input.wait_share ? admission::look_again : admission::refuse;
     }
     const bool in_time = waited + fractional_ms{*input.best_ms} <= target;
-    if (in_time || waited >= target * input.search_share) {
+    if (in_time) {
         return admission::take;
     }
-    return admission::look_again;
+    return waited < target * input.search_share ? admission::look_again : admission::refuse;
 }
 
 } // namespace sniperock
--- a/src/choice_admission.hpp
+++ b/src/choice_admission.hpp
@@ -25,9 +25,10 @@
 enum class admission { take, look_again, refuse };
 
 /**
- * An upstream that will answer in time is taken at once. One that will answer late is taken only
- * after a search, since load shifts within milliseconds: a late answer is worth little to the
- * caller. Without any free slot the request is refused early, so that it can come back in time.
+ * An upstream that will answer in time is taken at once. While only slower ones are free, the
+ * request looks on, since load shifts within milliseconds; then it is refused and may come back,
+ * for a late answer is worth little to the caller and its slot is one that others need in time.
+ * Without any free slot it is refused early, so that it can come back in time.
  */
 admission decide_admission(const admission_input& input);
 
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -34,12 +34,12 @@
     event_descriptor{
         event::call_ended, event_level::info, "calls", "call_ended",
         "id route service end status sends runs ms target_ms upstream sent_ms busy slots "
-        "slowness cold report_age_ms looked_at",
+        "slowness cold report_age_ms looks looked_at unknown full cold_held",
         "A call went well; a share of them is logged, by id."},
     event_descriptor{
         event::call_troubled, event_level::info, "calls", "call_troubled",
         "id route service end status sends runs ms target_ms upstream sent_ms busy slots "
-        "slowness cold report_age_ms looked_at",
+        "slowness cold report_age_ms looks looked_at unknown full cold_held",
         "A call was refused, failed, was sent more than once, or was late; sent_ms is "
         "when it was sent, the rest as for attempt_failed."},
     event_descriptor{
