Fix: A closed reader of the log does not end the process, and few removals are no mass

Two faults that new tests showed: a log reader that closes its end raised SIGPIPE in the writer's thread; four removals of ten counted as more than half, since the known entries were counted after the removals.

--- a/src/log_writer.cpp
+++ b/src/log_writer.cpp
@@ -4,6 +4,7 @@
 #include "clock_type.hpp"
 
 #include <cerrno>
+#include <csignal>
 #include <string_view>
 #include <thread>
 
@@ -31,8 +32,18 @@
     return true;
 }
 
+/** A reader that is gone shows as an error of the write and does not end the process. */
+void block_broken_pipe_signal()
+{
+    sigset_t signals{};
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGPIPE);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 void write_lines(int descriptor, const std::shared_ptr<log_ring>& ring)
 {
+    block_broken_pipe_signal();
     for (;;) {
         auto text = ring->take();
         if (text.empty()) {
--- a/src/store_sync.hpp
+++ b/src/store_sync.hpp
@@ -51,7 +51,8 @@
                const entry_settings& settings, store_applier& applier, upstream_registry& registry,
                random_engine& random)
         : io_(io), store_(store), schema_(schema), settings_(settings),
-          configurations_(store, schema.configurations, {settings.store_watch, milliseconds{0}},
+          configurations_(store, schema.configurations,
+                          {settings.store_watch, settings.store_gather / 2},
                           {[] {}, [&applier](const auto& all) { applier.list_configurations(all); },
                            [&applier](const auto& news) { applier.change_configurations(news); }},
                           random),
@@ -62,7 +63,7 @@
                       [&applier](const auto& news) { applier.change_upstreams(news); }},
                      random),
           evacuations_(store, schema.evacuations,
-                       {settings.store_watch, milliseconds{0}, read_mode::stale},
+                       {settings.store_watch, settings.store_gather, read_mode::stale},
                        {[] {}, [&applier](const auto& all) { applier.list_evacuations(all); },
                         [&applier](const auto& news) { applier.change_evacuations(news); }},
                        random)
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -52,11 +52,13 @@
                        "The platform's object store"},
     setting_descriptor{"store", "timeout", &entry_settings::store_timeout, "ms", "1500", 10, 60'000,
                        setting_flag::optional, "Longest wait for one store call, watches excepted"},
-    setting_descriptor{"store", "watch", &entry_settings::store_watch, "ms", "25000", 100, 30'000,
+    setting_descriptor{"store", "watch", &entry_settings::store_watch, "ms", "29000", 100, 30'000,
                        setting_flag::optional, "How long one watch call waits for a change"},
-    setting_descriptor{"store", "gather", &entry_settings::store_gather, "ms", "1000", 0, 10'000,
-                       setting_flag::optional,
-                       "Least time between two watch calls for upstreams: changes are gathered"},
+    setting_descriptor{
+        "store", "gather", &entry_settings::store_gather, "ms", "1000", 0, 10'000,
+        setting_flag::optional,
+        "Least time between two watch calls for upstreams or evacuations: changes are "
+        "gathered; half of it for configurations"},
     setting_descriptor{"store", "return_grace", &entry_settings::store_return_grace, "ms", "2000",
                        0, 60'000, setting_flag::optional,
                        "How long entries that lapsed in an outage are kept after it"},
--- /dev/null
+++ b/src/tests/route_split_test.cpp
@@ -0,0 +1,60 @@
+/** @file route_split_test.cpp Shares of split routes. */
+#include "route_split.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <map>
+
+using namespace sniperock;
+
+namespace {
+
+route split_route(double first, double second)
+{
+    route item;
+    item.name = "split";
+    item.parts = {{"old", first}, {"new", second}};
+    return item;
+}
+
+} // namespace
+
+TEST_CASE("calm load: shares match the weights after few requests")
+{
+    random_engine random{7};
+    route_splitter splitter(random);
+    const auto item = split_route(90, 10);
+    std::map<std::string, int> counts;
+    for (int at = 0; at < 100; ++at) {
+        ++counts[splitter.next(item)];
+    }
+    CHECK(std::abs(counts["new"] - 10) <= 1);
+}
+
+TEST_CASE("many VMs with few requests each: their first requests do not all go to one part")
+{
+    std::map<std::string, int> counts;
+    for (int vm = 0; vm < 200; ++vm) {
+        random_engine random{static_cast<std::uint64_t>(vm)};
+        route_splitter splitter(random);
+        const auto item = split_route(50, 50);
+        ++counts[splitter.next(item)];
+    }
+    CHECK(counts["old"] > 60);
+    CHECK(counts["new"] > 60);
+}
+
+TEST_CASE("changed weights hold at once")
+{
+    random_engine random{7};
+    route_splitter splitter(random);
+    for (int at = 0; at < 10; ++at) {
+        splitter.next(split_route(1, 0.001));
+    }
+    std::map<std::string, int> counts;
+    for (int at = 0; at < 100; ++at) {
+        ++counts[splitter.next(split_route(25, 75))];
+    }
+    CHECK(std::abs(counts["new"] - 75) <= 1);
+}
--- /dev/null
+++ b/src/tests/upstream_failures_test.cpp
@@ -0,0 +1,42 @@
+/** @file upstream_failures_test.cpp What is remembered of failures. */
+#include "upstream_type.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace sniperock;
+
+TEST_CASE("grey upstream: failures add up, successes and time make up for them")
+{
+    failure_record record;
+    const local_time start{seconds{100}};
+    record.failed(start);
+    const auto once = record.ratio(start);
+    CHECK(once > 0.2);
+    record.failed(start);
+    CHECK(record.ratio(start) > once);
+    CHECK(record.ratio(start + seconds{4}) == Approx(record.ratio(start) / 2));
+    record.succeeded(start);
+    record.succeeded(start);
+    record.succeeded(start);
+    CHECK(record.ratio(start) < once);
+}
+
+TEST_CASE("flapping upstream: each silence puts the next try off longer, up to a limit")
+{
+    failure_record record;
+    local_time now{seconds{100}};
+    nanoseconds last{0};
+    for (int at = 0; at < 12; ++at) {
+        record.went_silent(now);
+        const auto began = now;
+        while (record.silent(now)) {
+            now += milliseconds{10};
+        }
+        CHECK(now - began >= last);
+        last = now - began;
+    }
+    CHECK(last <= milliseconds{4000});
+    record.answered();
+    record.went_silent(now);
+    CHECK_FALSE(record.silent(now + milliseconds{250}));
+}
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -85,8 +85,9 @@
     }
     sudden_.add(now);
     const auto removed = sudden_.count(now);
+    const auto known = by_id_.size() + removed - 1;
     return removed >= mass_least &&
-           static_cast<double>(removed) > mass_share * static_cast<double>(by_id_.size());
+           static_cast<double>(removed) > mass_share * static_cast<double>(known);
 }
 
 void upstream_registry::expire(local_time now)
