Fix: Distrust of upstreams ranks them and does not count as time

Cause (test of lost answers): the cost of failures was part of the expected time, so when all upstreams had failed lately every request looked late and was refused with idle upstreams. Expected time and rank are two functions now. A VM is ready as soon as everything is read, not at the next second.

--- a/src/choice_policy.cpp
+++ b/src/choice_policy.cpp
@@ -39,7 +39,7 @@
     [[nodiscard]] double rank(const candidate& what, const request_estimate& request,
                               local_time now) const override
     {
-        return expected_ms(what, request, now);
+        return rank_ms(what, request, now);
     }
 };
 
@@ -95,7 +95,7 @@
     [[nodiscard]] double rank(const candidate& what, const request_estimate& request,
                               local_time now) const override
     {
-        return expected_ms({what.item, what.near, true}, request, now);
+        return rank_ms({what.item, what.near, true}, request, now);
     }
 };
 
--- a/src/choice_score.cpp
+++ b/src/choice_score.cpp
@@ -65,8 +65,15 @@
     if (busy >= slots) {
         total += work * (busy - slots + 1) / slots;
     }
+    return what.near ? total : total + far_ms;
+}
+
+double rank_ms(const candidate& what, const request_estimate& request, local_time now)
+{
+    const auto& item = *what.item;
+    double total = expected_ms(what, request, now);
     if (!what.near) {
-        total += far_ms + far_ms_per_1000_bytes * request.answer_bytes / 1000;
+        total += far_ms_per_1000_bytes * request.answer_bytes / 1000;
     }
     if (item.unwell) {
         total += request.work_ms * unwell_cost;
@@ -78,7 +85,7 @@
 bool is_ideal(const candidate& what, const request_estimate& request, local_time now)
 {
     return what.fresh && !is_cold(*what.item, now) &&
-           expected_ms(what, request, now) <= request.work_ms * ideal_factor;
+           rank_ms(what, request, now) <= request.work_ms * ideal_factor;
 }
 
 } // namespace sniperock
--- a/src/choice_score.hpp
+++ b/src/choice_score.hpp
@@ -30,11 +30,14 @@
 /** True if a request sent now would begin at once. */
 bool has_free_slot(const upstream& item);
 
+/** Expected time in ms until the answer. */
+double expected_ms(const candidate& what, const request_estimate& request, local_time now);
+
 /**
- * Expected time in ms until the answer, with what failures, bytes between failure domains and
- * missing knowledge cost expressed in ms too.
+ * What candidates are ranked by, the lower the better: the expected time, and what failures and
+ * bytes between failure domains cost, expressed in ms too.
  */
-double expected_ms(const candidate& what, const request_estimate& request, local_time now);
+double rank_ms(const candidate& what, const request_estimate& request, local_time now);
 
 /** True if no other upstream would be much better: the choice need not wait for more reports. */
 bool is_ideal(const candidate& what, const request_estimate& request, local_time now);
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -82,7 +82,7 @@
           members(describe_self(settings, draw_life(random)), settings.member_silence),
           gossip(io, members, settings.member_heartbeat, random),
           store(io, endpoint_of(settings.store_address), settings.store_timeout, measured),
-          applier(adapter.schema, routes, registry, [this] { config_changed(); }),
+          applier(adapter.schema, routes, registry, [this] { store_changed(); }),
           sync(io, store, adapter.schema, settings, applier, registry, random),
           callers(io, callers_shared(), static_cast<std::size_t>(settings.max_connections)),
           ready_page(io, page_shared([this](const auto& item) { answer_ready(item); }),
@@ -155,10 +155,11 @@
 
     // Configuration and settings.
 
-    void config_changed()
+    void store_changed()
     {
-        auto& shared = callers.shared();
-        shared.limits = routes.table()->config().limits;
+        if (const auto table = routes.table()) {
+            callers.shared().limits = table->config().limits;
+        }
         update_state();
     }
 
--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -8,9 +8,8 @@
 namespace sniperock {
 
 store_applier::store_applier(const store_schema& schema, route_holder& routes,
-                             upstream_registry& registry, std::function<void()> config_changed)
-    : schema_(schema), routes_(routes), registry_(registry),
-      config_changed_(std::move(config_changed))
+                             upstream_registry& registry, std::function<void()> changed)
+    : schema_(schema), routes_(routes), registry_(registry), changed_(std::move(changed))
 {
 }
 
@@ -43,7 +42,7 @@
             log_event(event::config_applied, {{"version", std::to_string(version.value)},
                                               {"routes", std::to_string(routes)},
                                               {"revision", std::to_string(object.revision.value)}});
-            config_changed_();
+            changed_();
         }
     }
     catch (const store_error& error) {
@@ -73,6 +72,7 @@
     registry_.replace_all(entries, boot_clock::now());
     log_event(event::registry_listed, {{"upstreams", std::to_string(entries.size())},
                                        {"revision", std::to_string(listing.at.value)}});
+    changed_();
 }
 
 void store_applier::change_upstreams(const store_changes& changes)
@@ -102,6 +102,7 @@
         evacuated_.insert(object.name);
     }
     publish_evacuations();
+    changed_();
 }
 
 void store_applier::change_evacuations(const store_changes& changes)
--- a/src/store_sync.hpp
+++ b/src/store_sync.hpp
@@ -20,9 +20,9 @@
 /** Applies objects of the store to the routes and the registry. */
 class store_applier {
 public:
-    /** @param config_changed called when a newer configuration is in force. */
+    /** @param changed called when a newer configuration is in force or a kind was listed. */
     store_applier(const store_schema& schema, route_holder& routes, upstream_registry& registry,
-                  std::function<void()> config_changed);
+                  std::function<void()> changed);
 
     void list_configurations(const store_listing& listing);
     void change_configurations(const store_changes& changes);
@@ -39,7 +39,7 @@
     const store_schema& schema_;
     route_holder& routes_;
     upstream_registry& registry_;
-    std::function<void()> config_changed_;
+    std::function<void()> changed_;
     std::set<std::string, std::less<>> evacuated_;
 };
 
--- a/src/tests/choice_score_test.cpp
+++ b/src/tests/choice_score_test.cpp
@@ -23,7 +23,7 @@
 
 double score(upstream& item, const request_estimate& request = small_request, bool near = true)
 {
-    return expected_ms({&item, near, true}, request, now);
+    return rank_ms({&item, near, true}, request, now);
 }
 
 } // namespace
@@ -100,3 +100,13 @@
     auto item = loaded(0, 0, 1);
     CHECK_FALSE(is_ideal({&item, true, false}, small_request, now));
 }
+
+TEST_CASE("failing everywhere: distrust ranks upstreams and does not make their answers late")
+{
+    auto grey = loaded(0, 0, 1);
+    for (int at = 0; at < 10; ++at) {
+        grey.failures.failed(now);
+    }
+    grey.unwell = true;
+    CHECK(expected_ms({&grey, false, true}, download, now) < 110);
+}
--- a/src/tests/store_sync_test.cpp
+++ b/src/tests/store_sync_test.cpp
@@ -48,6 +48,8 @@
     all.applier.change_configurations({{{{"main", {5}, 5}, true}}, {5}});
     CHECK(all.routes.table()->config().version.value == 5);
     CHECK(all.changes == 1);
+    all.applier.list_upstreams({{}, {6}});
+    CHECK(all.changes == 2);
 }
 
 TEST_CASE("registry entries that cannot be read are left out, the others hold")
