--- a/src/call_context.hpp
+++ b/src/call_context.hpp
@@ -27,6 +27,17 @@
 
 /** The parts that calls use; they outlive every call. Used by one io thread. */
 struct call_context {
+    call_context(asio::io_context& with_io, const entry_settings& with_settings,
+                 const wire_dialect& with_dialect, route_holder& with_routes,
+                 upstream_registry& with_registry, upstream_pool& with_pool,
+                 upstream_prober& with_prober, choice_policy& with_policy,
+                 call_metrics& with_measured, random_engine& with_random)
+        : io(with_io), settings(with_settings), dialect(with_dialect), routes(with_routes),
+          registry(with_registry), pool(with_pool), prober(with_prober), policy(with_policy),
+          measured(with_measured), random(with_random), splitter(with_random)
+    {
+    }
+
     asio::io_context& io;
     const entry_settings& settings;
     const wire_dialect& dialect;
--- a/src/call_picker.cpp
+++ b/src/call_picker.cpp
@@ -199,12 +199,15 @@
         if (best != nullptr) {
             input.best_ms = expected_ms(*best, request_.estimate, now);
         }
+        const auto verdict = decide_admission(input);
+        if (!request_.may_wait || now >= request_.deadline) {
+            refused_ = best == nullptr;
+            return best != nullptr;
+        }
         // What is left of the probes is kept for requests that have not looked at all.
         const bool few_probes = context_.probes.fill() < kept_for_first_look;
-        const bool search_over = !request_.may_wait || few_probes || now >= request_.deadline;
-        const auto verdict = decide_admission(input);
-        refused_ = verdict == admission::refuse || (best == nullptr && search_over);
-        return best != nullptr && (verdict == admission::take || search_over);
+        refused_ = verdict == admission::refuse || (verdict == admission::look_again && few_probes);
+        return verdict == admission::take;
     }
 
     picked_upstream take(const candidate& best, local_time now)
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -30,9 +30,11 @@
 constexpr milliseconds settle_time{2500};
 /** How often a VM that knows no other looks for the fleet in the store. */
 constexpr seconds lonely_search_period{5};
-/** A leaving VM takes new connections for this part of the stop limit: callers keep directory
- * answers for some seconds. */
-constexpr double accept_part = 0.75;
+/** A leaving VM takes new connections for this part of its grace: callers keep directory answers
+ * for some seconds. */
+constexpr double accept_part = 0.65;
+/** After this part of the grace it ends whatever still runs; the rest is for its own end. */
+constexpr double stop_part = 0.85;
 /** Connections of the pages; callers ask the directory on short connections. */
 constexpr std::size_t max_page_connections = 1000;
 constexpr int status_ok = 200;
@@ -65,20 +67,9 @@
         : settings(std::move(with)), adapter(with_adapter), read_settings(std::move(reload)),
           random(random_seed()), call_measures(measured), registry(settings.store_return_grace),
           pool(io, measured), prober(io, pool, adapter.dialect, measured),
-          policy(choice_policies::instance().make(settings.policy)), calls{io,
-                                                                           settings,
-                                                                           adapter.dialect,
-                                                                           routes,
-                                                                           registry,
-                                                                           pool,
-                                                                           prober,
-                                                                           *policy,
-                                                                           call_measures,
-                                                                           random,
-                                                                           route_splitter{random},
-                                                                           {},
-                                                                           {},
-                                                                           {}},
+          policy(choice_policies::instance().make(settings.policy)),
+          calls(io, settings, adapter.dialect, routes, registry, pool, prober, *policy,
+                call_measures, random),
           members(describe_self(settings, draw_life(random)), settings.member_silence),
           gossip(io, members, settings.member_heartbeat, random),
           store(io, endpoint_of(settings.store_address), settings.store_timeout, measured),
@@ -287,11 +278,11 @@
     {
         const auto since = now - leave_began;
         callers.close_idle();
-        if (since < settings.stop_limit * accept_part) {
+        if (since < settings.stop_grace * accept_part) {
             return false;
         }
         callers.stop_accepting();
-        if (callers.busy() > 0 && since < settings.stop_limit) {
+        if (callers.busy() > 0 && since < settings.stop_grace * stop_part) {
             return false;
         }
         log_event(event::entry_stopped, {{"cut_off", std::to_string(callers.busy())}});
--- a/src/member_gossip.cpp
+++ b/src/member_gossip.cpp
@@ -68,7 +68,7 @@
 
 member_gossip::member_gossip(asio::io_context& io, member_table& table, milliseconds period,
                              random_engine& random)
-    : io_(io), table_(table), period_(period), random_(random), socket_(io)
+    : table_(table), period_(period), random_(random), socket_(io)
 {
 }
 
--- a/src/member_gossip.hpp
+++ b/src/member_gossip.hpp
@@ -47,7 +47,6 @@
 
     void send_to(const std::string& address);
 
-    asio::io_context& io_;
     member_table& table_;
     milliseconds period_;
     random_engine& random_;
--- a/src/settings_type.hpp
+++ b/src/settings_type.hpp
@@ -33,7 +33,7 @@
     std::int64_t body_memory{};
     milliseconds default_deadline{};
     milliseconds directory_ttl{};
-    milliseconds stop_limit{};
+    milliseconds stop_grace{};
     std::string policy;
     std::int64_t probe_count{};
     std::int64_t subset{};
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -75,9 +75,9 @@
     setting_descriptor{"callers", "directory_ttl", &entry_settings::directory_ttl, "ms", "2000",
                        100, day_ms, setting_flag::optional,
                        "How long callers may keep a directory answer"},
-    setting_descriptor{"callers", "stop_limit", &entry_settings::stop_limit, "ms", "5500", 0,
+    setting_descriptor{"callers", "stop_grace", &entry_settings::stop_grace, "ms", "6000", 0,
                        day_ms, setting_flag::optional,
-                       "Longest graceful stop; what still runs then is cut off"},
+                       "The process may be killed so long after it was told to stop"},
     // Choosing an upstream.
     setting_descriptor{"choice", "policy", &entry_settings::policy, "", "fresh-probes", 1, 64,
                        setting_flag::optional,
--- a/src/tests/cold_limit_test.cpp
+++ b/src/tests/cold_limit_test.cpp
@@ -16,6 +16,7 @@
 std::vector<std::string> names(int count)
 {
     std::vector<std::string> result;
+    result.reserve(static_cast<std::size_t>(count));
     for (int at = 0; at < count; ++at) {
         result.push_back("vm-" + std::to_string(at));
     }
--- a/src/tests/directory_test.cpp
+++ b/src/tests/directory_test.cpp
@@ -42,6 +42,7 @@
 TEST_CASE("an answer holds at most 64 addresses")
 {
     std::vector<member_entry> members;
+    members.reserve(100);
     for (int at = 0; at < 100; ++at) {
         members.push_back(member("vm-" + std::to_string(at), "north"));
     }
--- a/src/tests/store_follower_test.cpp
+++ b/src/tests/store_follower_test.cpp
@@ -53,7 +53,7 @@
             io_.stop();
             throw store_error(store_failure::unavailable, "end of script");
         }
-        const auto now = steps.front();
+        auto now = steps.front();
         steps.pop_front();
         if (now.failure) {
             throw store_error(*now.failure, "scripted");
--- a/src/tests/upstream_registry_test.cpp
+++ b/src/tests/upstream_registry_test.cpp
@@ -34,6 +34,7 @@
 {
     upstream_registry registry(seconds{2});
     std::vector<upstream_entry> entries;
+    entries.reserve(10);
     for (int at = 0; at < 10; ++at) {
         entries.push_back(entry(at));
     }
--- a/src/upstream_pool.cpp
+++ b/src/upstream_pool.cpp
@@ -45,7 +45,7 @@
 std::shared_ptr<upstream_connection> upstream_pool::take_idle(upstream& item, local_time now)
 {
     while (!item.idle.empty()) {
-        const auto connection = item.idle.back();
+        auto connection = item.idle.back();
         item.idle.pop_back();
         if (!connection->stale(now)) {
             reused_.Increment();
