Feature: Load tool, explanation of requests from logs, demonstration; spoiled heartbeats cost no memory

Two faults found on the way: the address sanitizer showed that a spoiled heartbeat made the codec ask for 32 GB (limits on lengths and depth, test); the demonstration showed that the directory named other VMs with its own port (heartbeats carry the callers' port now).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PRESET ?= release
 BUILD := build/$(PRESET)
 
-.PHONY: deps build test lint format clean
+.PHONY: deps build demo test lint format clean
 
 deps:
 	@tools/install-deps.sh
@@ -11,6 +11,9 @@
 	@cmake --preset $(PRESET) >/dev/null
 	@cmake --build --preset $(PRESET)
 
+demo: build
+	@$(BUILD)/sniperock demo
+
 test: build
 	@ctest --preset $(PRESET)
 
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -11,11 +11,16 @@
 /** Addresses that an answer may hold. */
 constexpr std::size_t most_addresses = 64;
 
+std::string callers_address(const member_entry& member)
+{
+    return member.address + ":" + std::to_string(member.callers_port);
+}
+
 } // namespace
 
 std::vector<std::string> directory_addresses(const std::vector<member_entry>& members,
                                              std::string_view failure_domain,
-                                             const std::string& self)
+                                             const member_entry& self)
 {
     std::vector<std::string> all;
     std::vector<std::string> near;
@@ -23,14 +28,14 @@
         if (member.state != member_state::ready) {
             continue;
         }
-        all.push_back(member.address);
+        all.push_back(callers_address(member));
         if (member.failure_domain == failure_domain) {
-            near.push_back(member.address);
+            near.push_back(callers_address(member));
         }
     }
     auto& answer = near.size() >= enough_near ? near : all;
     if (answer.empty()) {
-        answer.push_back(self);
+        answer.push_back(callers_address(self));
     }
     answer.resize(std::min(answer.size(), most_addresses));
     return answer;
--- a/src/directory.hpp
+++ b/src/directory.hpp
@@ -10,13 +10,14 @@
 namespace sniperock {
 
 /**
- * Addresses for a caller in @p failure_domain: the ready VMs of its own failure domain while there
- * are enough of them to lose one, otherwise all ready ones; this VM's own if none is ready.
+ * Addresses with ports for a caller in @p failure_domain: the ready VMs of its own failure domain
+ * while there are enough of them to lose one, otherwise all ready ones; this VM's own if none is
+ * ready.
  * @param members the living VMs.
- * @param self address of this VM.
+ * @param self this VM.
  */
 std::vector<std::string> directory_addresses(const std::vector<member_entry>& members,
                                              std::string_view failure_domain,
-                                             const std::string& self);
+                                             const member_entry& self);
 
 } // namespace sniperock
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -44,6 +44,7 @@
 member_entry describe_self(const entry_settings& settings, std::uint64_t life)
 {
     return {address_of(settings.callers_listen),
+            0,
             settings.vm_name,
             settings.failure_domain,
             {life},
@@ -108,6 +109,7 @@
     {
         const auto address = endpoint_of(settings.callers_listen).address();
         callers.listen(endpoint_of(settings.callers_listen));
+        members.set_callers_port(callers.port());
         ready_page.listen(endpoint_of(settings.ready_listen));
         directory_page.listen(endpoint_of(settings.directory_listen));
         metrics_page.listen({address, static_cast<std::uint16_t>(settings.metrics_port)});
@@ -307,11 +309,8 @@
             return;
         }
         const auto query = adapter.dialect.parse_directory_query(target);
-        auto addresses = directory_addresses(members.alive(boot_clock::now()), query.failure_domain,
-                                             members.self().address);
-        for (auto& address : addresses) {
-            address += ":" + std::to_string(callers.port());
-        }
+        const auto addresses = directory_addresses(members.alive(boot_clock::now()),
+                                                   query.failure_domain, members.self());
         caller_answer answer{status_ok, {}, {}};
         answer.headers.add("Content-Type", "application/json");
         answer.body = adapter.dialect.format_directory_answer(addresses, settings.directory_ttl);
--- a/src/member_gossip.cpp
+++ b/src/member_gossip.cpp
@@ -23,20 +23,29 @@
 /** With fewer living VMs than this, seeds are greeted each period. */
 constexpr std::size_t lonely_below = 3;
 
-using wire_entry =
-    std::tuple<std::string, std::string, std::string, std::uint64_t, std::uint64_t, std::uint8_t>;
+using wire_entry = std::tuple<std::string, std::uint16_t, std::string, std::string, std::uint64_t,
+                              std::uint64_t, std::uint8_t>;
 using wire_heartbeat = std::tuple<unsigned, std::vector<wire_entry>>;
 
+/** What a heartbeat may hold; lengths in spoiled bytes must not make the library allocate. */
+const msgpack::unpack_limit limits{/* array */ 1024, /* map */ 0, /* string */ 1024,
+                                   /* bin */ 0,      /* ext */ 0, /* depth */ 4};
+
 } // namespace
 
 std::string encode_heartbeat(const std::vector<member_entry>& entries)
 {
     wire_heartbeat message{format_version, {}};
-    std::ranges::transform(
-        entries, std::back_inserter(std::get<1>(message)), [](const member_entry& entry) {
-            return wire_entry{entry.address,    entry.name, entry.failure_domain,
-                              entry.life.value, entry.beat, static_cast<std::uint8_t>(entry.state)};
-        });
+    std::ranges::transform(entries, std::back_inserter(std::get<1>(message)),
+                           [](const member_entry& entry) {
+                               return wire_entry{entry.address,
+                                                 entry.callers_port,
+                                                 entry.name,
+                                                 entry.failure_domain,
+                                                 entry.life.value,
+                                                 entry.beat,
+                                                 static_cast<std::uint8_t>(entry.state)};
+                           });
     msgpack::sbuffer buffer;
     msgpack::pack(buffer, message);
     return {buffer.data(), buffer.size()};
@@ -45,18 +54,18 @@
 std::optional<std::vector<member_entry>> decode_heartbeat(std::string_view bytes)
 {
     try {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limits);
         const auto [version, wire] = handle.get().as<wire_heartbeat>();
         if (version != format_version) {
             return std::nullopt;
         }
         std::vector<member_entry> entries;
-        for (const auto& [address, name, domain, life, beat, state] : wire) {
+        for (const auto& [address, port, name, domain, life, beat, state] : wire) {
             if (state > static_cast<std::uint8_t>(member_state::leaving)) {
                 return std::nullopt;
             }
             entries.push_back(
-                {address, name, domain, {life}, beat, static_cast<member_state>(state)});
+                {address, port, name, domain, {life}, beat, static_cast<member_state>(state)});
         }
         return entries;
     }
--- a/src/member_table.hpp
+++ b/src/member_table.hpp
@@ -34,7 +34,10 @@
 
 /** One VM as heartbeats carry it. */
 struct member_entry {
+    /** Where its heartbeats come from. */
     std::string address;
+    /** Port that callers connect to. */
+    std::uint16_t callers_port = 0;
     std::string name;
     std::string failure_domain;
     /** The life of its process. */
@@ -58,6 +61,7 @@
 
     [[nodiscard]] const member_entry& self() const { return self_; }
     void set_state(member_state state) { self_.state = state; }
+    void set_callers_port(std::uint16_t port) { self_.callers_port = port; }
     /** Counts a heartbeat of this VM. */
     void beat() { ++self_.beat; }
     /** Takes over what a heartbeat carries. @return true if an unknown VM or life is among it. */
--- /dev/null
+++ b/src/tests/explain_test.cpp
@@ -0,0 +1,51 @@
+/** @file explain_test.cpp Stories of requests out of logs. */
+#include "explain.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+using namespace sniperock;
+
+TEST_CASE("fields of a line are read, quoted ones too, whatever stands before them")
+{
+    const auto fields =
+        parse_log_line(R"(  1.5 vm-1 time=12.5 name=x reason="a \"b\" c=d" empty="" last=1)");
+    CHECK(fields.at("time") == "12.5");
+    CHECK(fields.at("reason") == "a \"b\" c=d");
+    CHECK(fields.at("empty").empty());
+    CHECK(fields.at("last") == "1");
+    CHECK(parse_log_line("no fields here").empty());
+    CHECK(parse_log_line("").empty());
+}
+
+TEST_CASE("the lines of one request are told in order of time, over the logs of several VMs")
+{
+    std::istringstream second(
+        "time=12.900 name=call_troubled vm=b id=c-1 route=r service=jobs end=no-slot status=503 "
+        "sends=0 runs=0 ms=36 target_ms=300 upstream=\"\" looks=2 looked_at=10 unknown=1 full=9 "
+        "cold_held=0\n");
+    std::istringstream first(
+        "time=12.100 name=attempt_failed vm=a id=c-1 service=jobs end=broken status=0 ms=12 "
+        "upstream=u-7 busy=1 slots=3 slowness=100 cold=0 report_age_ms=2\n"
+        "time=12.150 name=call_troubled vm=a id=c-10 end=answered\n");
+    request_story story("c-1");
+    story.read(second);
+    story.read(first);
+    const auto text = story.text();
+    const auto attempt = text.find("attempt at u-7");
+    const auto refusal = text.find("could answer in time");
+    REQUIRE(attempt != std::string::npos);
+    REQUIRE(refusal != std::string::npos);
+    CHECK(attempt < refusal);
+    CHECK(text.find("9 full, 1 without a fresh report") != std::string::npos);
+    CHECK(text.find("c-10") == std::string::npos);
+}
+
+TEST_CASE("a request without lines is said to have none")
+{
+    std::istringstream log("time=1 id=other\n");
+    request_story story("c-1");
+    story.read(log);
+    CHECK(story.text().find("no line about c-1") != std::string::npos);
+}
--- a/src/tests/member_table_test.cpp
+++ b/src/tests/member_table_test.cpp
@@ -16,6 +16,7 @@
                    member_state state = member_state::ready)
 {
     return {"10.0.0." + std::to_string(number),
+            70,
             "vm-" + std::to_string(number),
             "north",
             {life},
@@ -141,6 +142,7 @@
     REQUIRE(read);
     REQUIRE(read->size() == 2);
     CHECK(read->at(1).address == "10.0.0.2");
+    CHECK(read->at(1).callers_port == 70);
     CHECK(read->at(1).name == "vm-2");
     CHECK(read->at(1).life.value == 8);
     CHECK(read->at(1).beat == 4);
@@ -168,3 +170,11 @@
     }
     CHECK_FALSE(decode_heartbeat(""));
 }
+
+TEST_CASE("a heartbeat that claims to be huge is refused without the memory for it")
+{
+    // An array of 2^31 elements, a string of 2^31 bytes, and arrays inside arrays.
+    CHECK_FALSE(decode_heartbeat(std::string("\xdd\x80\x00\x00\x00", 5)));
+    CHECK_FALSE(decode_heartbeat(std::string("\x92\x01\xdb\x80\x00\x00\x00", 7)));
+    CHECK_FALSE(decode_heartbeat(std::string(60'000, '\x91')));
+}
--- a/src/wire_dialect.cpp
+++ b/src/wire_dialect.cpp
@@ -48,6 +48,24 @@
     return nlohmann::json{{"vms", addresses}, {"keep_ms", ttl.count()}}.dump();
 }
 
+std::string format_own_query(const directory_query& query)
+{
+    return "/locate?host=" + query.host + "&region=" + query.region +
+           "&near=" + query.failure_domain;
+}
+
+std::optional<directory_answer> parse_own_answer(const std::string& body)
+{
+    try {
+        const auto answer = nlohmann::json::parse(body);
+        return directory_answer{answer.at("vms").get<std::vector<std::string>>(),
+                                milliseconds{answer.at("keep_ms").get<std::int64_t>()}};
+    }
+    catch (const nlohmann::json::exception&) {
+        return std::nullopt;
+    }
+}
+
 int hex_digit(char ch)
 {
     if (ch >= '0' && ch <= '9') {
@@ -92,6 +110,8 @@
         .parse_load = parse_own_load,
         .parse_directory_query = parse_own_query,
         .format_directory_answer = format_own_answer,
+        .format_directory_query = format_own_query,
+        .parse_directory_answer = parse_own_answer,
     };
     return dialect;
 }
--- a/src/wire_dialect.hpp
+++ b/src/wire_dialect.hpp
@@ -17,6 +17,12 @@
     std::string failure_domain;
 };
 
+/** What a caller is told: addresses, and how long to keep them. */
+struct directory_answer {
+    std::vector<std::string> addresses;
+    milliseconds keep{0};
+};
+
 /** The names of headers and pages, and the formats of their values. */
 struct wire_dialect {
     /** Request: id of one attempt of a client; an answer echoes it. */
@@ -47,6 +53,10 @@
     /** Writes the body of a directory answer. */
     std::string (*format_directory_answer)(const std::vector<std::string>& addresses,
                                            milliseconds ttl);
+    /** Writes the target of a directory request. */
+    std::string (*format_directory_query)(const directory_query& query);
+    /** Reads the body of a directory answer; empty if malformed. */
+    std::optional<directory_answer> (*parse_directory_answer)(const std::string& body);
 };
 
 /** The product's own dialect; a deployment's adapter may bring another. */
