Fix: A session keeps what it shares with its server alive, and gauges of what a VM knows

Cause (address sanitizer, end of a test): handlers that wait when the process ends are destroyed after the server; a session's end then counted its body out of a server that was gone.

--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -15,8 +15,8 @@
 
 caller_server::caller_server(asio::io_context& io, session_shared shared,
                              std::size_t max_connections)
-    : io_(io), shared_(std::move(shared)), max_connections_(max_connections), acceptor_(io),
-      pause_(io)
+    : io_(io), shared_(std::make_shared<session_shared>(std::move(shared))),
+      max_connections_(max_connections), acceptor_(io), pause_(io)
 {
 }
 
--- a/src/caller_server.hpp
+++ b/src/caller_server.hpp
@@ -25,7 +25,7 @@
     /** Known as long as this object lives, also after stop_accepting(). */
     [[nodiscard]] std::uint16_t port() const { return port_; }
     /** What all sessions share; may be changed at any time. */
-    [[nodiscard]] session_shared& shared() { return shared_; }
+    [[nodiscard]] session_shared& shared() { return *shared_; }
     /** Takes no more connections. */
     void stop_accepting();
     /** Closes connections on which no request was begun. */
@@ -43,7 +43,7 @@
     void adopt(tcp_socket socket);
 
     asio::io_context& io_;
-    session_shared shared_;
+    std::shared_ptr<session_shared> shared_;
     std::size_t max_connections_;
     std::uint16_t port_ = 0;
     asio::ip::tcp::acceptor acceptor_;
--- a/src/caller_session.cpp
+++ b/src/caller_session.cpp
@@ -29,16 +29,16 @@
 
 } // namespace
 
-caller_session::caller_session(net_stream stream, session_shared& shared)
-    : stream_(std::move(stream)), shared_(shared),
-      parser_(http_side::request, static_cast<std::size_t>(shared.limits.max_header_bytes)),
-      time_limit_(boot_clock::now() + shared.limits.idle_timeout)
+caller_session::caller_session(net_stream stream, std::shared_ptr<session_shared> shared)
+    : stream_(std::move(stream)), shared_(std::move(shared)),
+      parser_(http_side::request, static_cast<std::size_t>(shared_->limits.max_header_bytes)),
+      time_limit_(boot_clock::now() + shared_->limits.idle_timeout)
 {
 }
 
 caller_session::~caller_session()
 {
-    shared_.body_bytes -= body_.size();
+    shared_->body_bytes -= body_.size();
 }
 
 void caller_session::start()
@@ -144,7 +144,7 @@
 bool caller_session::take_piece(std::string_view& data)
 {
     if (!parser_.started()) {
-        time_limit_ = boot_clock::now() + shared_.limits.header_timeout;
+        time_limit_ = boot_clock::now() + shared_->limits.header_timeout;
     }
     data.remove_prefix(parser_.feed(data));
     if (!parser_.head_complete()) {
@@ -165,11 +165,11 @@
 bool caller_session::head_allowed()
 {
     const auto& head = parser_.head();
-    if (head.body_length > static_cast<std::uint64_t>(shared_.limits.max_body_bytes)) {
+    if (head.body_length > static_cast<std::uint64_t>(shared_->limits.max_body_bytes)) {
         refuse(status_too_large);
         return false;
     }
-    time_limit_ = boot_clock::now() + shared_.limits.idle_timeout;
+    time_limit_ = boot_clock::now() + shared_->limits.idle_timeout;
     const auto expectation = head.headers.find("expect");
     if (!expectation) {
         return true;
@@ -188,13 +188,13 @@
 {
     for (const auto piece : parser_.body()) {
         body_.append(piece);
-        shared_.body_bytes += piece.size();
+        shared_->body_bytes += piece.size();
     }
-    if (body_.size() > static_cast<std::size_t>(shared_.limits.max_body_bytes)) {
+    if (body_.size() > static_cast<std::size_t>(shared_->limits.max_body_bytes)) {
         refuse(status_too_large);
         return false;
     }
-    if (shared_.max_body_memory > 0 && shared_.body_bytes > shared_.max_body_memory) {
+    if (shared_->max_body_memory > 0 && shared_->body_bytes > shared_->max_body_memory) {
         refuse(status_unavailable);
         return false;
     }
@@ -204,7 +204,7 @@
 /** Hands a whole request on. */
 void caller_session::dispatch()
 {
-    shared_.body_bytes -= body_.size();
+    shared_->body_bytes -= body_.size();
     caller_request request{std::move(parser_.head()), std::move(body_), boot_clock::now()};
     body_.clear();
     head_checked_ = false;
@@ -213,7 +213,7 @@
     item->last_ = !item->request().head.keep_alive;
     input_over_ = input_over_ || item->last_;
     waiting_.push_back(item);
-    shared_.handle(item);
+    shared_->handle(item);
 }
 
 /** Answers what cannot be read as a request; the connection ends behind the answer. */
@@ -243,7 +243,7 @@
             return;
         }
         waiting_.pop_front();
-        time_limit_ = boot_clock::now() + shared_.limits.idle_timeout;
+        time_limit_ = boot_clock::now() + shared_->limits.idle_timeout;
         if (item->last_) {
             after_last();
             return;
@@ -341,13 +341,13 @@
                                  std::uint64_t length)
 {
     begun_ = true;
-    const bool closes = last_ || session_->shared_.draining;
+    const bool closes = last_ || session_->shared_->draining;
     // Requests behind this one are answered first; only the last answer may end the connection.
     last_ = closes && session_->waiting_.back().get() == this;
     session_->input_over_ = session_->input_over_ || last_;
     append_status_line(out_, answer.status);
     append_end_to_end_headers(out_, answer.headers);
-    const auto& id_header = session_->shared_.id_header;
+    const auto& id_header = session_->shared_->id_header;
     const auto id = id_header.empty() ? std::nullopt : request_.head.headers.find(id_header);
     if (id && !answer.headers.find(id_header)) {
         append_header(out_, id_header, *id);
--- a/src/caller_session.hpp
+++ b/src/caller_session.hpp
@@ -35,7 +35,7 @@
  */
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
-    caller_session(net_stream stream, session_shared& shared);
+    caller_session(net_stream stream, std::shared_ptr<session_shared> shared);
     ~caller_session();
     caller_session(const caller_session&) = delete;
     caller_session& operator=(const caller_session&) = delete;
@@ -68,7 +68,8 @@
     void after_last();
 
     net_stream stream_;
-    session_shared& shared_;
+    /** Outlives the server if the session does. */
+    std::shared_ptr<session_shared> shared_;
     http_message_parser parser_;
     std::string body_;
     /** Received and not yet parsed, because enough requests wait for their answers. */
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -317,8 +317,31 @@
         item->respond(answer);
     }
 
+    /** What is worked out when it is asked for. */
+    void refresh_gauges()
+    {
+        const auto now = boot_clock::now();
+        const auto set = [this](const char* name, const char* help, double value,
+                                const metric_labels& labels = {}) {
+            measured.gauge(name, help, labels).Set(value);
+        };
+        const auto table = routes.table();
+        const auto alive = members.alive(now);
+        const auto ready = std::ranges::count(alive, member_state::ready, &member_entry::state);
+        const std::chrono::duration<double> silence = now - sync.registry_seen();
+        set("sniperock_config_version", "Version of the configuration in force",
+            table ? static_cast<double>(table->config().version.value) : 0);
+        set("sniperock_upstreams", "Registry entries known", static_cast<double>(registry.size()));
+        set("sniperock_store_silence_seconds", "Since the store last told of upstreams",
+            silence.count());
+        set("sniperock_members", "VMs known", static_cast<double>(alive.size()),
+            {{"state", "alive"}});
+        set("sniperock_members", "VMs known", static_cast<double>(ready), {{"state", "ready"}});
+    }
+
     void answer_metrics(const exchange_ptr& item)
     {
+        refresh_gauges();
         caller_answer answer{status_ok, {}, measured.text()};
         answer.headers.add("Content-Type", "text/plain; version=0.0.4");
         item->respond(answer);
