--- a/src/call.cpp
+++ b/src/call.cpp
@@ -19,7 +19,6 @@
 constexpr double hedge_after_work = 2.5;
 /** But not sooner than after this part of the target. */
 constexpr double hedge_after_target = 0.6;
-constexpr int first_failure_status = 500;
 
 /** Seconds with three decimals. */
 std::string seconds_text(milliseconds time)
@@ -208,7 +207,7 @@
         --sends_;
     }
     const bool answered = attempt.end() == attempt_end::answered;
-    const bool failure = answered && attempt.status() >= first_failure_status;
+    const bool failure = answered && attempt.status() >= http_status::first_server_failure;
     if (attempt.end() == attempt_end::streamed ||
         (answered && (!failure || !is_repeatable(route_->kind)))) {
         pass_on(attempt);
--- a/src/call_attempt.cpp
+++ b/src/call_attempt.cpp
@@ -16,14 +16,10 @@
 constexpr milliseconds connect_limit{300};
 /** Pause between looks whether the caller has read what it was sent. */
 constexpr milliseconds backlog_pause{2};
-constexpr int first_failure_status = 500;
-constexpr int first_redirect_status = 300;
-constexpr int status_ok = 200;
-constexpr int status_misdirected = 421;
 
 bool is_success(int status)
 {
-    return status >= status_ok && status < first_redirect_status;
+    return status >= http_status::ok && status < http_status::first_redirect;
 }
 
 } // namespace
@@ -130,7 +126,7 @@
     auto& head = connection_->head();
     const auto& dialect = context_.dialect;
     context_.prober.learn(*picked_.target, head.headers, boot_clock::now());
-    if (head.status == status_misdirected) {
+    if (head.status == http_status::misdirected) {
         return attempt_end::misdirected;
     }
     if (head.headers.find(dialect.not_executed)) {
@@ -196,8 +192,8 @@
     }
     switch (end) {
     case attempt_end::answered:
-        answer_.status >= first_failure_status ? target.failures.failed(now)
-                                               : target.failures.succeeded(now);
+        answer_.status >= http_status::first_server_failure ? target.failures.failed(now)
+                                                            : target.failures.succeeded(now);
         break;
     case attempt_end::broken:
         target.failures.failed(now);
--- a/src/call_log.cpp
+++ b/src/call_log.cpp
@@ -16,8 +16,6 @@
     return hash < part * static_cast<double>(std::numeric_limits<std::uint64_t>::max());
 }
 
-constexpr int first_client_error = 400;
-
 std::string ms_text(nanoseconds time)
 {
     return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
@@ -35,8 +33,9 @@
 {
     const bool known = summary.where != nullptr;
     const bool late = known && summary.took > summary.where->target_latency;
-    const bool well = summary.end == call_end::answered && summary.status < first_client_error &&
-                      summary.sends <= 1 && !late;
+    const bool well = summary.end == call_end::answered &&
+                      summary.status < http_status::first_client_failure && summary.sends <= 1 &&
+                      !late;
     if (well && !sampled(summary.id, settings.log_sample)) {
         return;
     }
--- a/src/call_type.hpp
+++ b/src/call_type.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "enum_table.hpp"
+#include "http_type.hpp"
 
 #include <array>
 
@@ -79,13 +80,13 @@
 {
     switch (end) {
     case call_end::no_route:
-        return 404;
+        return http_status::not_found;
     case call_end::failed:
-        return 502;
+        return http_status::bad_gateway;
     case call_end::timed_out:
-        return 504;
+        return http_status::gateway_timeout;
     default:
-        return 503;
+        return http_status::unavailable;
     }
 }
 
--- a/src/caller_session.cpp
+++ b/src/caller_session.cpp
@@ -12,20 +12,8 @@
 
 /** Requests of one connection that are worked on at the same time. */
 constexpr std::size_t max_waiting = 16;
-/** Bytes read at once; one buffer serves all connections of the thread. */
-constexpr std::size_t read_size = 16'384;
 /** How long a closing connection waits for the caller to close its side. */
 constexpr milliseconds linger_time{1000};
-constexpr int status_too_large = 413;
-constexpr int status_expectation_failed = 417;
-constexpr int status_request_timeout = 408;
-constexpr int status_unavailable = 503;
-
-std::array<char, read_size>& read_buffer()
-{
-    thread_local std::array<char, read_size> buffer{};
-    return buffer;
-}
 
 } // namespace
 
@@ -66,7 +54,7 @@
         return;
     }
     if (parser_.started() && !lingering_ && !input_over_) {
-        refuse(status_request_timeout);
+        refuse(http_status::request_timeout);
         return;
     }
     close();
@@ -95,7 +83,7 @@
 
 void caller_session::on_input()
 {
-    auto& buffer = read_buffer();
+    const auto buffer = read_buffer_of<caller_session>();
     asio::error_code error;
     const auto size = stream_.read(buffer, error);
     if (error) {
@@ -166,7 +154,7 @@
 {
     const auto& head = parser_.head();
     if (head.body_length > static_cast<std::uint64_t>(shared_->limits.max_body_bytes)) {
-        refuse(status_too_large);
+        refuse(http_status::too_large);
         return false;
     }
     time_limit_ = boot_clock::now() + shared_->limits.idle_timeout;
@@ -175,7 +163,7 @@
         return true;
     }
     if (!equal_ignoring_case(*expectation, "100-continue")) {
-        refuse(status_expectation_failed);
+        refuse(http_status::expectation_failed);
         return false;
     }
     if (!parser_.message_complete() && waiting_.empty()) {
@@ -191,11 +179,11 @@
         shared_->body_bytes += piece.size();
     }
     if (body_.size() > static_cast<std::size_t>(shared_->limits.max_body_bytes)) {
-        refuse(status_too_large);
+        refuse(http_status::too_large);
         return false;
     }
     if (shared_->max_body_memory > 0 && shared_->body_bytes > shared_->max_body_memory) {
-        refuse(status_unavailable);
+        refuse(http_status::unavailable);
         return false;
     }
     return true;
@@ -224,7 +212,7 @@
     item->last_ = true;
     waiting_.push_back(item);
     caller_answer answer{status, {}, {}};
-    if (status == status_unavailable) {
+    if (status == http_status::unavailable) {
         answer.headers.add("Retry-After", "0.5");
     }
     item->respond(answer);
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -37,9 +37,6 @@
 constexpr double stop_part = 0.85;
 /** Connections of the pages; callers ask the directory on short connections. */
 constexpr std::size_t max_page_connections = 1000;
-constexpr int status_ok = 200;
-constexpr int status_not_found = 404;
-constexpr int status_unavailable = 503;
 
 member_entry describe_self(const entry_settings& settings, std::uint64_t life)
 {
@@ -298,20 +295,22 @@
         const bool known = item->request().head.target == adapter.dialect.ready_path;
         const bool ready = members.self().state == member_state::ready;
         item->respond(
-            {known ? (ready ? status_ok : status_unavailable) : status_not_found, {}, {}});
+            {known ? (ready ? http_status::ok : http_status::unavailable) : http_status::not_found,
+             {},
+             {}});
     }
 
     void answer_directory(const exchange_ptr& item)
     {
         const std::string_view target = item->request().head.target;
         if (target.substr(0, target.find('?')) != adapter.dialect.directory_path) {
-            item->respond({status_not_found, {}, {}});
+            item->respond({http_status::not_found, {}, {}});
             return;
         }
         const auto query = adapter.dialect.parse_directory_query(target);
         const auto addresses = directory_addresses(members.alive(boot_clock::now()),
                                                    query.failure_domain, members.self());
-        caller_answer answer{status_ok, {}, {}};
+        caller_answer answer{http_status::ok, {}, {}};
         answer.headers.add("Content-Type", "application/json");
         answer.body = adapter.dialect.format_directory_answer(addresses, settings.directory_ttl);
         item->respond(answer);
@@ -342,7 +341,7 @@
     void answer_metrics(const exchange_ptr& item)
     {
         refresh_gauges();
-        caller_answer answer{status_ok, {}, measured.text()};
+        caller_answer answer{http_status::ok, {}, measured.text()};
         answer.headers.add("Content-Type", "text/plain; version=0.0.4");
         item->respond(answer);
     }
--- a/src/http_type.hpp
+++ b/src/http_type.hpp
@@ -10,6 +10,27 @@
 
 namespace sniperock {
 
+/** Status codes that are told apart or answered. */
+namespace http_status {
+inline constexpr int first_final = 200;
+inline constexpr int ok = 200;
+inline constexpr int first_redirect = 300;
+inline constexpr int first_client_failure = 400;
+inline constexpr int not_found = 404;
+inline constexpr int request_timeout = 408;
+inline constexpr int conflict = 409;
+inline constexpr int gone = 410;
+inline constexpr int too_large = 413;
+inline constexpr int expectation_failed = 417;
+inline constexpr int misdirected = 421;
+inline constexpr int too_many_requests = 429;
+inline constexpr int first_server_failure = 500;
+inline constexpr int failed = 500;
+inline constexpr int bad_gateway = 502;
+inline constexpr int unavailable = 503;
+inline constexpr int gateway_timeout = 504;
+} // namespace http_status
+
 /** One header line. */
 struct http_header {
     std::string name;
--- a/src/load_runner.cpp
+++ b/src/load_runner.cpp
@@ -10,9 +10,6 @@
 namespace sniperock {
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_too_many = 429;
-constexpr int status_unavailable = 503;
 /** Longest wait for one directory node. */
 constexpr milliseconds directory_limit{1000};
 
@@ -59,22 +56,24 @@
     for (int turn = 0; turn <= plan_.returns; ++turn) {
         const auto id = plan_.id_prefix + "-" + std::to_string(number) + "-" + std::to_string(turn);
         last = co_await ask(id, until - boot_clock::now());
-        const bool told_unrun = last.status == status_unavailable || last.status == status_too_many;
+        const bool told_unrun = last.status == http_status::unavailable ||
+                                last.status == http_status::too_many_requests;
         if (!told_unrun) {
             break;
         }
         const std::chrono::duration<double> pause{last.return_after_s.value_or(0)};
         co_await sleep_for(std::chrono::duration_cast<nanoseconds>(pause));
     }
-    if (last.status == status_ok && last.genuine) {
+    if (last.status == http_status::ok && last.genuine) {
         ++result_.answered;
         const std::chrono::duration<double, std::milli> took = boot_clock::now() - began;
         result_.times_ms.push_back(took.count());
     }
-    else if (last.status == status_ok) {
+    else if (last.status == http_status::ok) {
         ++result_.spoiled;
     }
-    else if (last.status == status_unavailable || last.status == status_too_many) {
+    else if (last.status == http_status::unavailable ||
+             last.status == http_status::too_many_requests) {
         ++result_.refused;
     }
     else {
--- a/src/net_stream.hpp
+++ b/src/net_stream.hpp
@@ -4,6 +4,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include <array>
 #include <cstddef>
 #include <span>
 #include <string>
@@ -15,6 +16,20 @@
 /** A TCP socket bound to one io thread, without a type-erased executor. */
 using tcp_socket = asio::basic_stream_socket<asio::ip::tcp, asio::io_context::executor_type>;
 
+/** Bytes that are read at once. */
+inline constexpr std::size_t read_size = 16'384;
+
+/**
+ * One buffer for all connections of a class on one thread, so that idle ones hold none.
+ * @tparam Owner the class; what it read stays valid while others read into theirs.
+ */
+template <typename Owner>
+std::span<char, read_size> read_buffer_of()
+{
+    thread_local std::array<char, read_size> buffer{};
+    return buffer;
+}
+
 /**
  * Reads and writes without waiting. No buffer is held while nothing is unsent, so an idle
  * connection costs no buffer memory. Used by one thread.
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -55,7 +55,7 @@
     setting_descriptor{"store", "watch", &entry_settings::store_watch, "ms", "29000", 100, 30'000,
                        setting_flag::optional, "How long one watch call waits for a change"},
     setting_descriptor{
-        "store", "gather", &entry_settings::store_gather, "ms", "1000", 0, 10'000,
+        "store", "gather", &entry_settings::store_gather, "ms", "1300", 0, 10'000,
         setting_flag::optional,
         "Least time between two watch calls for upstreams or evacuations: changes are "
         "gathered; half of it for configurations"},
--- a/src/upstream_connection.cpp
+++ b/src/upstream_connection.cpp
@@ -11,15 +11,6 @@
 
 /** Longest head of an answer; heads of usual servers stay below 16 KiB. */
 constexpr std::size_t max_answer_head = 65'536;
-/** Bytes read at once; one buffer serves all connections of the thread. */
-constexpr std::size_t read_size = 16'384;
-constexpr int first_final_status = 200;
-
-std::array<char, read_size>& read_buffer()
-{
-    thread_local std::array<char, read_size> buffer{};
-    return buffer;
-}
 
 } // namespace
 
@@ -88,7 +79,7 @@
         if (error || !stream_.is_open()) {
             break;
         }
-        auto& buffer = read_buffer();
+        const auto buffer = read_buffer_of<upstream_connection>();
         const auto size = stream_.read(buffer, error);
         if (size > 0) {
             heard_ = true;
@@ -122,7 +113,7 @@
         }
         const auto echoed = head().headers.find(attempt_header);
         const bool other = echoed && !attempt_id.empty() && *echoed != attempt_id;
-        if (!other && head().status >= first_final_status) {
+        if (!other && head().status >= http_status::first_final) {
             whole_ = parser_.message_complete();
             co_return whole_ ? read_progress::complete : read_progress::more;
         }
@@ -138,7 +129,7 @@
 task<read_progress> upstream_connection::skip_body()
 {
     std::string ignored;
-    auto progress = parser_.message_complete() || head().status < first_final_status
+    auto progress = parser_.message_complete() || head().status < http_status::first_final
                         ? read_progress::complete
                         : read_progress::more;
     while (progress == read_progress::more) {
--- a/src/upstream_probe.cpp
+++ b/src/upstream_probe.cpp
@@ -13,7 +13,6 @@
 constexpr milliseconds answer_limit{250};
 /** The usual time is an average over about so many probes. */
 constexpr int time_averaged_over = 32;
-constexpr int status_ok = 200;
 
 } // namespace
 
@@ -108,7 +107,7 @@
         item.unwell = true;
         return;
     }
-    item.unwell = head.status != status_ok;
+    item.unwell = head.status != http_status::ok;
     item.failures.answered();
     learn(item, head.headers, now);
 }
