Fix: The loser of two large answers does not break off the winner's, and the grace ends on time

Cause, found by reading the change once more: an attempt that had a large answer ready waited for leave to pass it on; when the call ended instead (another attempt won, or the caller left) it went on, found its connection closed, and broke off the caller's connection behind the winner's answer, or set a handler on a finished exchange that kept both alive. It now ends as cancelled. An entry removed late in the grace after a store outage was kept up to 1 s beyond it; the grace now ends for all entries 2 s after the store's return.

Ruled out: the same for answers below 1 MiB, which are never passed on by the attempt.

--- a/src/call_attempt.cpp
+++ b/src/call_attempt.cpp
@@ -169,6 +169,10 @@
     end_ = attempt_end::streamed;
     changed_->notify();
     co_await may_stream_->wait_for(order_.deadline - boot_clock::now());
+    if (cancelled_) {
+        // The exchange belongs to another answer now, or its caller has left.
+        co_return attempt_end::cancelled;
+    }
     const auto& exchange = order_.exchange;
     exchange->on_abandoned([self = shared_from_this()] { self->cancel(); });
     const auto& head = connection_->head();
--- a/src/tests/upstream_registry_test.cpp
+++ b/src/tests/upstream_registry_test.cpp
@@ -106,6 +106,17 @@
     CHECK(usable(registry) == 2);
 }
 
+TEST_CASE("store outage: an entry that is removed late in the grace is gone at its end")
+{
+    auto registry = ten();
+    registry.store_returned(start);
+    registry.remove("u-1", start + milliseconds{1900});
+    registry.expire(start + milliseconds{1999});
+    CHECK(usable(registry) == 10);
+    registry.expire(start + seconds{2});
+    CHECK(usable(registry) == 9);
+}
+
 TEST_CASE("store outage: one that announced its leaving is not kept")
 {
     auto registry = ten();
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -68,7 +68,8 @@
         return;
     }
     if (may_have_lapsed(item, now)) {
-        item.lapsed_until = std::max(grace_until_, now + return_grace_ / 2);
+        // The grace ends with the outage's; without a seen outage there is a shorter one.
+        item.lapsed_until = now < grace_until_ ? grace_until_ : now + return_grace_ / 2;
         return;
     }
     drop(found->first);
