--- a/src/call.cpp
+++ b/src/call.cpp
@@ -106,6 +106,7 @@
 {
     pick_request wanted{route_,
                         service_,
+                        table_->find_service(service_),
                         estimate_,
                         tried_,
                         exchange_->request().arrived,
--- a/src/call_picker.cpp
+++ b/src/call_picker.cpp
@@ -10,7 +10,8 @@
 namespace sniperock {
 namespace {
 
-/** Pause before upstreams are probed again while none has a free slot, with jitter. */
+/** Pause before upstreams are probed again while none has a free slot, with jitter; about the time
+ * of a probe, in which a few of a service's requests end. */
 constexpr milliseconds shortest_pause{6};
 constexpr milliseconds longest_pause{14};
 
@@ -63,7 +64,6 @@
             const bool near = item->entry.failure_domain == context_.settings.failure_domain;
             const bool doubted = item->unwell || item->failures.silent(now);
             (doubted ? doubtful : good).push_back({item.get(), near, false});
-            kept_[item.get()] = item;
         }
         // Doubtful ones are looked at now and then, or nobody would notice that they are back.
         std::uniform_int_distribution<> dice{1, doubtful_odds};
@@ -80,6 +80,10 @@
         auto sample =
             context_.policy.sample(all, static_cast<std::size_t>(context_.settings.probe_count),
                                    request_.estimate, context_.random, boot_clock::now());
+        // The registry may drop them while the search waits.
+        std::vector<upstream_ptr> held;
+        std::ranges::transform(sample, std::back_inserter(held),
+                               [](const candidate& what) { return what.item->shared_from_this(); });
         const auto round = std::make_shared<probe_round>(context_.io.get_executor());
         if (context_.policy.probes()) {
             co_await probe(round, sample);
@@ -101,7 +105,7 @@
     /** Asks the candidates that have no fresh report and waits for enough answers. */
     task<> probe(std::shared_ptr<probe_round> round, std::vector<candidate>& sample)
     {
-        const auto* service = context_.routes.table()->find_service(request_.service);
+        const auto* service = request_.service_settings;
         const std::string health_path = service == nullptr ? "/healthz" : service->health_path;
         const auto begin = boot_clock::now();
         fresh_since_ = begin - context_.settings.probe_fresh;
@@ -113,7 +117,7 @@
             if (!may_probe(begin)) {
                 break;
             }
-            context_.prober.start(round, kept_[what.item], health_path);
+            context_.prober.start(round, what.item->shared_from_this(), health_path);
         }
         const auto last = begin + context_.settings.probe_timeout;
         const auto usual = begin + context_.prober.usual_time() * usual_times;
@@ -191,6 +195,10 @@
             refused_ = best == nullptr;
             return best != nullptr;
         }
+        if (!request_.may_wait || now >= request_.deadline) {
+            refused_ = best == nullptr;
+            return best != nullptr;
+        }
         admission_input input{now - request_.arrived,
                               request_.where->target_latency,
                               {},
@@ -200,10 +208,6 @@
             input.best_ms = expected_ms(*best, request_.estimate, now);
         }
         const auto verdict = decide_admission(input);
-        if (!request_.may_wait || now >= request_.deadline) {
-            refused_ = best == nullptr;
-            return best != nullptr;
-        }
         // What is left of the probes is kept for requests that have not looked at all.
         const bool few_probes = context_.probes.fill() < kept_for_first_look;
         refused_ = verdict == admission::refuse || (verdict == admission::look_again && few_probes);
@@ -223,7 +227,7 @@
         if (basis.cold) {
             item.cold_sends.add(now);
         }
-        return {kept_[best.item], nullptr, basis};
+        return {item.shared_from_this(), nullptr, basis};
     }
 
     /** Whether a candidate can take the request, or why not. */
@@ -235,9 +239,9 @@
         if (!context_.registry.usable(item)) {
             return fitness::unusable;
         }
-        const auto* service = context_.routes.table()->find_service(request_.service);
         if (is_cold(item, now) &&
-            !cold_allows(item, context_.cold_bounds_of(service), context_.fleet, now)) {
+            !cold_allows(item, context_.cold_bounds_of(request_.service_settings), context_.fleet,
+                         now)) {
             return fitness::cold_held;
         }
         if (!context_.policy.probes()) {
@@ -266,6 +270,7 @@
         }
     }
 
+    /** Doubtful upstreams are among the candidates of one look in so many. */
     static constexpr int doubtful_odds = 8;
 
     call_context& context_;
@@ -275,8 +280,6 @@
     local_time fresh_since_;
     /** There is no free slot, and it does not wait for one. */
     bool refused_ = false;
-    /** Keeps the candidates alive while the search waits. */
-    std::map<upstream*, upstream_ptr> kept_;
 };
 
 } // namespace
--- a/src/call_picker.hpp
+++ b/src/call_picker.hpp
@@ -46,6 +46,8 @@
 struct pick_request {
     const route* where = nullptr;
     std::string service;
+    /** Null if the service is not configured; lives as long as the route. */
+    const service_config* service_settings = nullptr;
     request_estimate estimate;
     /** Ids of upstreams that have had the request. */
     std::set<std::string> tried;
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -167,7 +167,7 @@
     {
         try {
             auto fresh = read_settings();
-            if (same_settings(fresh, settings)) {
+            if (fresh == settings) {
                 return;
             }
             settings = std::move(fresh);
@@ -210,7 +210,7 @@
 
     void each_second(local_time now)
     {
-        registry.for_each([now](upstream& item) { upstream_pool::close_stale(item, now); });
+        registry.for_each([now](upstream& item) { upstream_pool::close_idle(item, now); });
         calls.fleet = {settings.vm_name, members.may_run(now), now - calls.started >= settle_time};
         update_state();
         const auto alive = members.alive(now);
--- a/src/entry_settings.cpp
+++ b/src/entry_settings.cpp
@@ -2,7 +2,6 @@
 #include "entry_settings_func.hpp"
 
 #include "net_endpoint.hpp"
-#include "settings_func.hpp"
 
 #include <ranges>
 
@@ -31,9 +30,4 @@
     return seeds;
 }
 
-bool same_settings(const entry_settings& left, const entry_settings& right)
-{
-    return format_settings(left) == format_settings(right);
-}
-
 } // namespace sniperock
--- a/src/entry_settings_func.hpp
+++ b/src/entry_settings_func.hpp
@@ -16,7 +16,5 @@
 std::string address_of(const std::string& setting);
 /** Addresses of the seeds, without their ports. */
 std::vector<std::string> seed_addresses(const entry_settings& settings);
-/** True if both hold the same values. */
-bool same_settings(const entry_settings& left, const entry_settings& right);
 
 } // namespace sniperock
--- a/src/settings_type.hpp
+++ b/src/settings_type.hpp
@@ -52,6 +52,8 @@
     std::int64_t log_buffer{};
     std::int64_t log_rate{};
     double log_sample{};
+
+    friend bool operator==(const entry_settings&, const entry_settings&) = default;
 };
 
 /** Where a parsed value goes; its alternative is the setting's type. */
--- a/src/upstream_connection.cpp
+++ b/src/upstream_connection.cpp
@@ -185,7 +185,7 @@
 
 bool upstream_connection::stale(local_time now)
 {
-    return now >= idle_until_ || !stream_.is_open() || stream_.has_input();
+    return idle_over(now) || !stream_.is_open() || stream_.has_input();
 }
 
 } // namespace sniperock
--- a/src/upstream_connection.hpp
+++ b/src/upstream_connection.hpp
@@ -60,6 +60,8 @@
     {
         return messages_ > 0 && now - finished_at_ <= span;
     }
+    /** It has been idle for too long. */
+    [[nodiscard]] bool idle_over(local_time now) const { return now >= idle_until_; }
     /** It has been idle for too long, was closed by the upstream, or has bytes of no request. */
     [[nodiscard]] bool stale(local_time now);
 
--- a/src/upstream_pool.cpp
+++ b/src/upstream_pool.cpp
@@ -75,14 +75,14 @@
     item.idle.push_back(connection);
 }
 
-void upstream_pool::close_stale(upstream& item, local_time now)
+void upstream_pool::close_idle(upstream& item, local_time now)
 {
     std::erase_if(item.idle, [now](const auto& connection) {
-        const bool stale = connection->stale(now);
-        if (stale) {
+        const bool over = connection->idle_over(now);
+        if (over) {
             connection->close();
         }
-        return stale;
+        return over;
     });
 }
 
--- a/src/upstream_pool.hpp
+++ b/src/upstream_pool.hpp
@@ -23,8 +23,8 @@
     /** Keeps a connection after an exchange, or closes it if it cannot be used again. */
     void put_back(upstream& item, const std::shared_ptr<upstream_connection>& connection,
                   local_time now);
-    /** Closes what has been idle for too long. */
-    static void close_stale(upstream& item, local_time now);
+    /** Closes what has been idle for too long; asks the system nothing. */
+    static void close_idle(upstream& item, local_time now);
 
 private:
     asio::io_context& io_;
--- a/src/upstream_type.hpp
+++ b/src/upstream_type.hpp
@@ -70,7 +70,7 @@
 };
 
 /** An upstream as this VM sees it; lives on while requests run there. */
-struct upstream {
+struct upstream : std::enable_shared_from_this<upstream> {
     upstream_entry entry;
     /** Not to be used any more: it left the registry or was replaced. */
     bool gone = false;
