--- a/src/call.cpp
+++ b/src/call.cpp
@@ -5,7 +5,6 @@
 #include "refusal.hpp"
 
 #include <algorithm>
-#include <cstdio>
 #include <ranges>
 
 namespace sniperock {
@@ -13,22 +12,14 @@
 
 /** With less than this left, another attempt cannot end in time. */
 constexpr milliseconds least_left{15};
-/** Upstreams tried for one call, those counted that could not be connected to. */
+/** Upstreams tried for one call, those counted that could not be connected to: each costs up to a
+ * connection's time limit. */
 constexpr std::size_t most_tried = 6;
 /** A second attempt is made when the first takes this many times the expected work. */
 constexpr double hedge_after_work = 2.5;
 /** But not sooner than after this part of the target. */
 constexpr double hedge_after_target = 0.6;
 
-/** Seconds with three decimals. */
-std::string seconds_text(milliseconds time)
-{
-    std::array<char, 32> text{};
-    const auto size = std::snprintf(text.data(), text.size(), "%.3f",
-                                    std::chrono::duration<double>(time).count());
-    return {text.data(), static_cast<std::size_t>(size)};
-}
-
 milliseconds whole_ms(nanoseconds time)
 {
     return std::chrono::duration_cast<milliseconds>(time);
@@ -286,11 +277,11 @@
 {
     caller_answer answer{status_of(end), {}, {}};
     if (answer.status == status_of(call_end::not_run)) {
-        const auto target = route_ == nullptr ? milliseconds{500} : route_->target_latency;
+        const auto target = route_ == nullptr ? assumed_target : route_->target_latency;
         const auto left =
             route_ == nullptr ? target : std::max(whole_ms(time_left()), milliseconds{0});
         answer.headers.add("Retry-After",
-                           seconds_text(pause_before_return(target, left, context_.random)));
+                           format_pause(pause_before_return(target, left, context_.random)));
     }
     exchange_->respond(answer);
     finish(end, answer.status);
--- a/src/call_attempt.hpp
+++ b/src/call_attempt.hpp
@@ -61,7 +61,7 @@
     call_context& context_;
     attempt_order order_;
     picked_upstream picked_;
-    std::shared_ptr<upstream_connection> connection_;
+    std::shared_ptr<http_connection> connection_;
     std::shared_ptr<async_signal> may_stream_;
     std::shared_ptr<async_signal> changed_;
     caller_answer answer_;
--- a/src/call_picker.hpp
+++ b/src/call_picker.hpp
@@ -37,7 +37,7 @@
 struct picked_upstream {
     upstream_ptr target;
     /** A connection that has just answered a probe; null if there is none. */
-    std::shared_ptr<upstream_connection> connection;
+    std::shared_ptr<http_connection> connection;
     /** What was known of it when it was chosen. */
     choice_basis basis;
 };
--- a/src/caller_session.cpp
+++ b/src/caller_session.cpp
@@ -2,6 +2,7 @@
 #include "caller_session.hpp"
 
 #include "http_write.hpp"
+#include "refusal.hpp"
 
 #include <algorithm>
 #include <array>
@@ -213,7 +214,7 @@
     waiting_.push_back(item);
     caller_answer answer{status, {}, {}};
     if (status == http_status::unavailable) {
-        answer.headers.add("Retry-After", "0.5");
+        answer.headers.add("Retry-After", format_pause(assumed_target));
     }
     item->respond(answer);
 }
--- a/src/event.cpp
+++ b/src/event.cpp
@@ -96,6 +96,12 @@
     return line + "\n";
 }
 
+/** The line that tells of lines that were not written. */
+std::string dropped_line(const std::string& vm, std::uint64_t lines)
+{
+    return format_line(describe(event::log_lines_dropped), vm, {{"lines", std::to_string(lines)}});
+}
+
 /** Lines about calls are as many as the calls; the others follow from rare changes. */
 bool is_rated(const event_descriptor& row)
 {
@@ -108,8 +114,7 @@
     const auto now = boot_clock::now();
     if (now - log.second_began >= seconds{1}) {
         if (log.lines_over_rate > 0) {
-            log.writer->write(format_line(describe(event::log_lines_dropped), log.setup.vm,
-                                          {{"lines", std::to_string(log.lines_over_rate)}}));
+            log.writer->write(dropped_line(log.setup.vm, log.lines_over_rate));
         }
         log.second_began = now;
         log.lines_in_second = 0;
@@ -134,7 +139,9 @@
     auto& log = the_log();
     const std::lock_guard lock(log.guard);
     if (!log.writer) {
-        log.writer = std::make_unique<log_writer>(STDOUT_FILENO, log.setup.buffer);
+        log.writer = std::make_unique<log_writer>(
+            STDOUT_FILENO, log.setup.buffer,
+            [vm = log.setup.vm](std::uint64_t lines) { return dropped_line(vm, lines); });
     }
     if (!is_rated(row) || within_rate(log)) {
         log.writer->write(format_line(row, log.setup.vm, fields));
--- a/src/upstream_connection.cpp
+++ b/src/http_connection.cpp
@@ -1,5 +1,5 @@
-/** @file upstream_connection.cpp One connection to an upstream and the messages on it. */
-#include "upstream_connection.hpp"
+/** @file http_connection.cpp A connection to a server, and the messages on it. */
+#include "http_connection.hpp"
 
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
@@ -14,12 +14,12 @@
 
 } // namespace
 
-upstream_connection::upstream_connection(tcp_socket socket)
+http_connection::http_connection(tcp_socket socket)
     : stream_(std::move(socket)), parser_(http_side::response, max_answer_head)
 {
 }
 
-task<bool> upstream_connection::connect(const asio::ip::tcp::endpoint& endpoint)
+task<bool> http_connection::connect(const asio::ip::tcp::endpoint& endpoint)
 {
     asio::error_code error;
     co_await stream_.socket().async_connect(endpoint,
@@ -33,13 +33,13 @@
     co_return !error && stream_.is_open();
 }
 
-void upstream_connection::begin_message()
+void http_connection::begin_message()
 {
     parser_.reset(head_request_);
     whole_ = false;
 }
 
-void upstream_connection::send(std::string_view bytes, bool head_request)
+void http_connection::send(std::string_view bytes, bool head_request)
 {
     head_request_ = head_request;
     begin_message();
@@ -50,7 +50,7 @@
 }
 
 /** Writes what is unsent whenever the system takes more. */
-void upstream_connection::flush()
+void http_connection::flush()
 {
     if (flushing_ || stream_.flushed() || !stream_.is_open()) {
         return;
@@ -70,7 +70,7 @@
 }
 
 /** Waits for bytes. @return false if none will come. */
-task<bool> upstream_connection::receive()
+task<bool> http_connection::receive()
 {
     asio::error_code error;
     while (!error && stream_.is_open()) {
@@ -79,7 +79,7 @@
         if (error || !stream_.is_open()) {
             break;
         }
-        const auto buffer = read_buffer_of<upstream_connection>();
+        const auto buffer = read_buffer_of<http_connection>();
         const auto size = stream_.read(buffer, error);
         if (size > 0) {
             heard_ = true;
@@ -91,8 +91,8 @@
     co_return false;
 }
 
-task<read_progress> upstream_connection::read_head(std::string_view attempt_header,
-                                                   std::string_view attempt_id)
+task<read_progress> http_connection::read_head(std::string_view attempt_header,
+                                               std::string_view attempt_id)
 {
     for (;;) {
         bool received = !pending_.empty();
@@ -126,7 +126,7 @@
 }
 
 /** Reads past an interim answer, or one that belongs to an earlier request. */
-task<read_progress> upstream_connection::skip_body()
+task<read_progress> http_connection::skip_body()
 {
     std::string ignored;
     auto progress = parser_.message_complete() || head().status < http_status::first_final
@@ -140,7 +140,7 @@
     co_return head().framing == body_framing::until_close ? read_progress::broken : progress;
 }
 
-task<read_progress> upstream_connection::read_body(std::string& body)
+task<read_progress> http_connection::read_body(std::string& body)
 {
     bool received = !pending_.empty();
     if (!received) {
@@ -168,13 +168,13 @@
     co_return whole_ ? read_progress::complete : read_progress::more;
 }
 
-bool upstream_connection::reusable()
+bool http_connection::reusable()
 {
     return whole_ && !peer_closed_ && pending_.empty() && stream_.is_open() && stream_.flushed() &&
            head().keep_alive && head().framing != body_framing::until_close;
 }
 
-void upstream_connection::finished(local_time now, milliseconds keep_for)
+void http_connection::finished(local_time now, milliseconds keep_for)
 {
     ++messages_;
     finished_at_ = now;
@@ -183,7 +183,7 @@
     std::string{}.swap(pending_);
 }
 
-bool upstream_connection::stale(local_time now)
+bool http_connection::stale(local_time now)
 {
     return idle_over(now) || !stream_.is_open() || stream_.has_input();
 }
--- a/src/upstream_connection.hpp
+++ b/src/http_connection.hpp
@@ -1,4 +1,4 @@
-/** @file upstream_connection.hpp One connection to an upstream and the messages on it. */
+/** @file http_connection.hpp A connection to a server, and the messages on it. */
 #pragma once
 
 #include "async_func.hpp"
@@ -25,9 +25,9 @@
 /**
  * A connection on which one message is exchanged at a time. Closing it ends whatever waits on it.
  */
-class upstream_connection : public std::enable_shared_from_this<upstream_connection> {
+class http_connection : public std::enable_shared_from_this<http_connection> {
 public:
-    explicit upstream_connection(tcp_socket socket);
+    explicit http_connection(tcp_socket socket);
 
     /** Connects. @return false if that failed. */
     task<bool> connect(const asio::ip::tcp::endpoint& endpoint);
@@ -45,7 +45,7 @@
 
     [[nodiscard]] http_head& head() { return parser_.head(); }
     [[nodiscard]] bool is_open() const { return stream_.is_open(); }
-    /** A byte of the last request may have reached the upstream. */
+    /** A byte of the last request may have reached the server. */
     [[nodiscard]] bool sent() const { return sent_; }
     /** A byte of an answer came. */
     [[nodiscard]] bool heard() const { return heard_; }
@@ -62,7 +62,7 @@
     }
     /** It has been idle for too long. */
     [[nodiscard]] bool idle_over(local_time now) const { return now >= idle_until_; }
-    /** It has been idle for too long, was closed by the upstream, or has bytes of no request. */
+    /** It has been idle for too long, was closed by the server, or has bytes of no request. */
     [[nodiscard]] bool stale(local_time now);
 
 private:
--- a/src/load_runner.cpp
+++ b/src/load_runner.cpp
@@ -91,7 +91,7 @@
     if (!endpoint || left <= nanoseconds{0}) {
         co_return answer;
     }
-    const auto connection = std::make_shared<upstream_connection>(tcp_socket(io_.get_executor()));
+    const auto connection = std::make_shared<http_connection>(tcp_socket(io_.get_executor()));
     const time_limit limit(io_.get_executor(), left, [connection] { connection->close(); });
     const bool connected = co_await connection->connect(*endpoint);
     if (!connected) {
@@ -148,7 +148,7 @@
 
 task<bool> load_runner::ask_directory(asio::ip::tcp::endpoint endpoint)
 {
-    const auto connection = std::make_shared<upstream_connection>(tcp_socket(io_.get_executor()));
+    const auto connection = std::make_shared<http_connection>(tcp_socket(io_.get_executor()));
     const time_limit limit(io_.get_executor(), directory_limit,
                            [connection] { connection->close(); });
     const bool connected = co_await connection->connect(endpoint);
--- a/src/load_runner.hpp
+++ b/src/load_runner.hpp
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "async_func.hpp"
+#include "http_connection.hpp"
 #include "load_type.hpp"
 #include "random_type.hpp"
-#include "upstream_connection.hpp"
 #include "wire_dialect.hpp"
 
 #include <asio/io_context.hpp>
--- a/src/log_writer.cpp
+++ b/src/log_writer.cpp
@@ -41,7 +41,8 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
-void write_lines(int descriptor, const std::shared_ptr<log_ring>& ring)
+void write_lines(int descriptor, const std::shared_ptr<log_ring>& ring,
+                 const std::function<std::string(std::uint64_t)>& tell_dropped)
 {
     block_broken_pipe_signal();
     for (;;) {
@@ -50,8 +51,7 @@
             return;
         }
         if (const auto dropped = ring->take_dropped(); dropped > 0) {
-            text += "level=warning event=SR110 name=log_lines_dropped lines=" +
-                    std::to_string(dropped) + "\n";
+            text += tell_dropped(dropped);
         }
         if (!write_all(descriptor, text)) {
             return;
@@ -62,10 +62,13 @@
 
 } // namespace
 
-log_writer::log_writer(int descriptor, std::size_t max_bytes)
+log_writer::log_writer(int descriptor, std::size_t max_bytes,
+                       std::function<std::string(std::uint64_t)> tell_dropped)
     : ring_(std::make_shared<log_ring>(max_bytes))
 {
-    std::thread([descriptor, ring = ring_] { write_lines(descriptor, ring); }).detach();
+    std::thread([descriptor, ring = ring_, tell = std::move(tell_dropped)] {
+        write_lines(descriptor, ring, tell);
+    }).detach();
 }
 
 log_writer::~log_writer()
--- a/src/log_writer.hpp
+++ b/src/log_writer.hpp
@@ -4,6 +4,8 @@
 #include "log_ring.hpp"
 
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -15,7 +17,9 @@
  */
 class log_writer {
 public:
-    log_writer(int descriptor, std::size_t max_bytes);
+    /** @param tell_dropped makes the line that tells how many lines were dropped. */
+    log_writer(int descriptor, std::size_t max_bytes,
+               std::function<std::string(std::uint64_t)> tell_dropped);
     ~log_writer();
     log_writer(const log_writer&) = delete;
     log_writer& operator=(const log_writer&) = delete;
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -2,6 +2,8 @@
 #include "refusal.hpp"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 
 namespace sniperock {
 namespace {
@@ -14,6 +16,14 @@
 
 } // namespace
 
+std::string format_pause(milliseconds pause)
+{
+    std::array<char, 32> text{};
+    const auto size = std::snprintf(text.data(), text.size(), "%.3f",
+                                    std::chrono::duration<double>(pause).count());
+    return {text.data(), static_cast<std::size_t>(size)};
+}
+
 milliseconds pause_before_return(milliseconds target, milliseconds left, random_engine& random)
 {
     std::uniform_real_distribution<double> part{least_part, most_part};
--- a/src/refusal.hpp
+++ b/src/refusal.hpp
@@ -4,8 +4,16 @@
 #include "clock_type.hpp"
 #include "random_type.hpp"
 
+#include <string>
+
 namespace sniperock {
 
+/** Target that is assumed where the route is not known; a middle of usual targets. */
+inline constexpr milliseconds assumed_target{500};
+
+/** A pause as the header gives it: seconds with three decimals. */
+std::string format_pause(milliseconds pause);
+
 /**
  * The pause that a refused caller is asked for: short against its target, so that it can still be
  * served in time, and spread, so that those refused together do not come back together.
--- a/src/tests/log_ring_test.cpp
+++ b/src/tests/log_ring_test.cpp
@@ -12,6 +12,15 @@
 
 using namespace sniperock;
 
+namespace {
+
+std::string tell_dropped(std::uint64_t lines)
+{
+    return "log_lines_dropped lines=" + std::to_string(lines) + "\n";
+}
+
+} // namespace
+
 TEST_CASE("lines that do not fit are dropped and counted")
 {
     log_ring ring(10);
@@ -29,7 +38,7 @@
     std::array<int, 2> ends{};
     REQUIRE(::pipe(ends.data()) == 0);
     {
-        log_writer writer(ends[1], 65'536);
+        log_writer writer(ends[1], 65'536, tell_dropped);
         // Far more than the pipe and the ring hold together; nobody reads.
         for (int at = 0; at < 100'000; ++at) {
             writer.write("a line of the log that nobody reads\n");
@@ -45,7 +54,7 @@
     REQUIRE(::pipe(ends.data()) == 0);
     std::string text;
     {
-        log_writer writer(ends[1], 4096);
+        log_writer writer(ends[1], 4096, tell_dropped);
         for (int at = 0; at < 10'000; ++at) {
             writer.write("a line of the log\n");
         }
--- a/src/upstream_pool.cpp
+++ b/src/upstream_pool.cpp
@@ -42,7 +42,7 @@
 {
 }
 
-std::shared_ptr<upstream_connection> upstream_pool::take_idle(upstream& item, local_time now)
+std::shared_ptr<http_connection> upstream_pool::take_idle(upstream& item, local_time now)
 {
     while (!item.idle.empty()) {
         auto connection = item.idle.back();
@@ -56,13 +56,13 @@
     return nullptr;
 }
 
-std::shared_ptr<upstream_connection> upstream_pool::make()
+std::shared_ptr<http_connection> upstream_pool::make()
 {
     opened_.Increment();
-    return std::make_shared<upstream_connection>(tcp_socket(io_.get_executor()));
+    return std::make_shared<http_connection>(tcp_socket(io_.get_executor()));
 }
 
-void upstream_pool::put_back(upstream& item, const std::shared_ptr<upstream_connection>& connection,
+void upstream_pool::put_back(upstream& item, const std::shared_ptr<http_connection>& connection,
                              local_time now)
 {
     const auto keep_for = keep_time(connection->head().headers);
--- a/src/upstream_pool.hpp
+++ b/src/upstream_pool.hpp
@@ -1,8 +1,8 @@
 /** @file upstream_pool.hpp Kept connections to upstreams. */
 #pragma once
 
+#include "http_connection.hpp"
 #include "metrics.hpp"
-#include "upstream_connection.hpp"
 #include "upstream_type.hpp"
 
 #include <asio/io_context.hpp>
@@ -17,11 +17,11 @@
     upstream_pool(asio::io_context& io, metrics& measured);
 
     /** A kept connection that looks usable, or null. */
-    std::shared_ptr<upstream_connection> take_idle(upstream& item, local_time now);
+    std::shared_ptr<http_connection> take_idle(upstream& item, local_time now);
     /** A connection that is not connected yet. */
-    std::shared_ptr<upstream_connection> make();
+    std::shared_ptr<http_connection> make();
     /** Keeps a connection after an exchange, or closes it if it cannot be used again. */
-    void put_back(upstream& item, const std::shared_ptr<upstream_connection>& connection,
+    void put_back(upstream& item, const std::shared_ptr<http_connection>& connection,
                   local_time now);
     /** Closes what has been idle for too long; asks the system nothing. */
     static void close_idle(upstream& item, local_time now);
--- a/src/upstream_probe.cpp
+++ b/src/upstream_probe.cpp
@@ -75,8 +75,8 @@
 }
 
 /** One health request and its answer. @return false if none came. */
-task<bool> upstream_prober::ask(std::shared_ptr<upstream_connection> connection,
-                                upstream_ptr target, std::string health_path, nanoseconds limit)
+task<bool> upstream_prober::ask(std::shared_ptr<http_connection> connection, upstream_ptr target,
+                                std::string health_path, nanoseconds limit)
 {
     const time_limit guard(io_.get_executor(), limit, [&connection] { connection->close(); });
     if (!connection->reused()) {
--- a/src/upstream_probe.hpp
+++ b/src/upstream_probe.hpp
@@ -16,7 +16,7 @@
 struct probe_answer {
     upstream_ptr target;
     /** Just proven to work; null if the report came otherwise. */
-    std::shared_ptr<upstream_connection> connection;
+    std::shared_ptr<http_connection> connection;
 };
 
 /**
@@ -50,7 +50,7 @@
 
 private:
     task<> run(std::shared_ptr<probe_round> round, upstream_ptr target, std::string health_path);
-    task<bool> ask(std::shared_ptr<upstream_connection> connection, upstream_ptr target,
+    task<bool> ask(std::shared_ptr<http_connection> connection, upstream_ptr target,
                    std::string health_path, nanoseconds limit);
     void take_answer(upstream& item, http_head& head) const;
 
--- a/src/upstream_registry.hpp
+++ b/src/upstream_registry.hpp
@@ -62,6 +62,9 @@
     }
 
 private:
+    /** Removals within it count as one: the store drops lapsed leases in one sweep. */
+    static constexpr milliseconds sudden_window{1000};
+
     void add(const upstream_entry& entry, local_time now);
     void drop(const std::string& id);
     bool may_have_lapsed(const upstream& item, local_time now);
@@ -72,7 +75,7 @@
     std::map<std::string, std::vector<upstream_ptr>, std::less<>> by_service_;
     std::set<std::string, std::less<>> evacuated_;
     /** Removals without notice in the last second. */
-    sliding_count sudden_{milliseconds{1000}};
+    sliding_count sudden_{sudden_window};
 };
 
 } // namespace sniperock
--- a/src/upstream_type.hpp
+++ b/src/upstream_type.hpp
@@ -14,11 +14,15 @@
 
 namespace sniperock {
 
-class upstream_connection;
+class http_connection;
 
 /** The bound on probes holds over a long time; this VM's are counted in such a window. */
 inline constexpr seconds probe_window{5};
 
+/** Requests to a cold upstream are bounded for each second in which they arrive; the tenth more
+ * covers what differs between sending and arriving. */
+inline constexpr milliseconds cold_window{1100};
+
 /** One upstream as it registered itself. */
 struct upstream_entry {
     std::string id;
@@ -86,12 +90,12 @@
     bool unwell = false;
     local_time cold_until;
     /** Requests of this VM in the last second while it was cold. */
-    sliding_count cold_sends{milliseconds{1100}};
+    sliding_count cold_sends{cold_window};
     /** Probes of this VM in the last seconds. */
     sliding_count probes{probe_window};
     failure_record failures;
     /** Connections that wait for a request, the one used last at the back. */
-    std::vector<std::shared_ptr<upstream_connection>> idle;
+    std::vector<std::shared_ptr<http_connection>> idle;
 };
 
 using upstream_ptr = std::shared_ptr<upstream>;
