--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -4,6 +4,7 @@
 #include "call.hpp"
 #include "caller_server.hpp"
 #include "directory.hpp"
+#include "entry_leaving.hpp"
 #include "entry_settings_func.hpp"
 #include "event_type.hpp"
 #include "member_gossip.hpp"
@@ -30,11 +31,6 @@
 constexpr milliseconds settle_time{2500};
 /** How often a VM that knows no other looks for the fleet in the store. */
 constexpr seconds lonely_search_period{5};
-/** A leaving VM takes new connections for this part of its grace: callers keep directory answers
- * for some seconds. */
-constexpr double accept_part = 0.65;
-/** After this part of the grace it ends whatever still runs; the rest is for its own end. */
-constexpr double stop_part = 0.85;
 /** Connections of the pages; callers ask the directory on short connections. */
 constexpr std::size_t max_page_connections = 1000;
 
@@ -275,13 +271,13 @@
     /** Goes on with leaving. @return true if the process can end. */
     bool left(local_time now)
     {
-        const auto since = now - leave_began;
         callers.close_idle();
-        if (since < settings.stop_grace * accept_part) {
+        const auto step = step_of_leaving(now - leave_began, settings.stop_grace, callers.busy());
+        if (step == leaving_step::accepting) {
             return false;
         }
         callers.stop_accepting();
-        if (callers.busy() > 0 && since < settings.stop_grace * stop_part) {
+        if (step == leaving_step::finishing) {
             return false;
         }
         log_event(event::entry_stopped, {{"cut_off", std::to_string(callers.busy())}});
