Feature: Less urgent requests leave the slots to more urgent ones while these are refused

Cause: in a burst every request had the same chance of a slot, whatever its priority.

Change: each VM keeps, per service and priority, the share of the last requests that found no slot; it fades within a second. A less urgent request is refused before it looks for a slot, the likelier the more often more urgent ones were refused, beyond one in ten (choice_yield, no network, no clock of its own). The end of such a call is logged as `yielded`.

--- a/src/call.cpp
+++ b/src/call.cpp
@@ -84,7 +84,16 @@
 
 task<> call::try_upstreams()
 {
+    const auto began = boot_clock::now();
+    if (context_.yielding.must_yield(service_, route_->priority, began, context_.random)) {
+        refuse(call_end::yielded);
+        co_return;
+    }
     const bool started = co_await start_attempt(true);
+    if (!*over_) {
+        const bool refused = !started && pick_failure_ == pick_failure::no_slot;
+        context_.yielding.note(service_, route_->priority, refused, boot_clock::now());
+    }
     if (!started) {
         end_unanswered();
         co_return;
--- a/src/call_type.hpp
+++ b/src/call_type.hpp
@@ -49,6 +49,8 @@
     no_upstream,
     /** No upstream has a free slot. */
     no_slot,
+    /** The slots are left to more urgent requests. */
+    yielded,
     /** Upstreams refused it, or it was never sent; it did not run. */
     not_run,
     /** It may have run; no answer came. */
@@ -68,6 +70,7 @@
     enum_name<call_end>{call_end::no_configuration, "no-configuration"},
     enum_name<call_end>{call_end::no_upstream, "no-upstream"},
     enum_name<call_end>{call_end::no_slot, "no-slot"},
+    enum_name<call_end>{call_end::yielded, "yielded"},
     enum_name<call_end>{call_end::not_run, "not-run"},
     enum_name<call_end>{call_end::failed, "failed"},
     enum_name<call_end>{call_end::timed_out, "timed-out"},
--- /dev/null
+++ b/src/choice_yield.cpp
@@ -0,0 +1,57 @@
+/** @file choice_yield.cpp Less urgent requests yield while more urgent ones are refused. */
+#include "choice_yield.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sniperock {
+namespace {
+
+/** Weight of the newest request: some ten make up the share. */
+constexpr double newest_weight = 0.1;
+/** Without requests the share fades in this time, as bursts do. */
+constexpr seconds fade{1};
+/** A single refusal is no shortage: up to this share nobody yields. */
+constexpr double tolerated_share = 0.1;
+/** Beyond it less urgent requests yield this many times as often as more urgent ones are refused.
+ */
+constexpr double strength = 3;
+/** Services that are remembered; operators add and remove services all the time. */
+constexpr std::size_t most_services = 1024;
+
+} // namespace
+
+bool urgency_yield::must_yield(const std::string& service, int priority, local_time now,
+                               random_engine& random) const
+{
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return false;
+    }
+    double most = 0;
+    for (const auto& [other, item] : found->second) {
+        if (other < priority) {
+            most = std::max(most, share_at(item, now));
+        }
+    }
+    std::uniform_real_distribution<double> chance{0, 1};
+    return most > tolerated_share && chance(random) < (most - tolerated_share) * strength;
+}
+
+void urgency_yield::note(const std::string& service, int priority, bool refused, local_time now)
+{
+    if (services_.size() >= most_services && !services_.contains(service)) {
+        services_.clear();
+    }
+    auto& item = services_[service][priority];
+    const double share = share_at(item, now);
+    item = {share + newest_weight * ((refused ? 1 : 0) - share), now};
+}
+
+double urgency_yield::share_at(const refusals& item, local_time now)
+{
+    const std::chrono::duration<double> passed = now - item.noted;
+    return item.share * std::exp(-passed / std::chrono::duration<double>{fade});
+}
+
+} // namespace sniperock
--- /dev/null
+++ b/src/choice_yield.hpp
@@ -0,0 +1,37 @@
+/** @file choice_yield.hpp Less urgent requests yield while more urgent ones are refused. */
+#pragma once
+
+#include "clock_type.hpp"
+#include "random_type.hpp"
+
+#include <map>
+#include <string>
+
+namespace sniperock {
+
+/**
+ * Per service, how often requests of each priority have lately found no slot. The more often more
+ * urgent ones did, the likelier a request yields its place: it is refused before it looks for one.
+ * What this VM sees itself is enough, since a burst reaches all VMs.
+ */
+class urgency_yield {
+public:
+    /** True if a request should leave the slots to more urgent ones. @param priority 0 first. */
+    [[nodiscard]] bool must_yield(const std::string& service, int priority, local_time now,
+                                  random_engine& random) const;
+    /** Notes whether a request of a priority was refused for want of a slot. */
+    void note(const std::string& service, int priority, bool refused, local_time now);
+
+private:
+    struct refusals {
+        /** Share of the last requests, fading with time. */
+        double share = 0;
+        local_time noted;
+    };
+
+    static double share_at(const refusals& item, local_time now);
+
+    std::map<std::string, std::map<int, refusals>, std::less<>> services_;
+};
+
+} // namespace sniperock
