Change: A listing after lost history may be old, and changes are gathered by the drain limit

After an outage, or if the watch that follows finds its history gone too, it is fresh. Setting store.drain_limit replaces store.gather; changes are gathered for 0.65 of it.

--- a/src/settings_type.hpp
+++ b/src/settings_type.hpp
@@ -27,7 +27,7 @@
     std::string store_address;
     milliseconds store_timeout{};
     milliseconds store_watch{};
-    milliseconds store_gather{};
+    milliseconds store_drain_limit{};
     milliseconds store_return_grace{};
     std::int64_t max_connections{};
     std::int64_t body_memory{};
--- a/src/store_follower.hpp
+++ b/src/store_follower.hpp
@@ -27,9 +27,9 @@
     milliseconds watch{25'000};
     /** Least time between two watch calls; changes meanwhile come together. */
     milliseconds gather{0};
-    /** The first listing may be old: the watch that follows tells what it lacks. Later ones are
-     * fresh, since the history that would tell it may be gone. */
-    read_mode first_listing = read_mode::fresh;
+    /** Listings may be old: the watch that follows tells what they lack. After an outage they are
+     * fresh all the same. */
+    read_mode listing = read_mode::fresh;
     /** Without an answer for so long, the store counts as lost. */
     milliseconds lost_after{1000};
 };
@@ -75,18 +75,13 @@
     task<> follow()
     {
         if (!listed_) {
-            const auto mode = std::exchange(times_.first_listing, read_mode::fresh);
-            const auto listing = co_await store_.list(kind_, mode);
-            note_answer();
-            at_ = listing.at;
-            listed_ = true;
-            synced_ = true;
-            sink_.listed(listing);
+            co_await list();
         }
         for (;;) {
             const auto began = boot_clock::now();
             const auto changes = co_await store_.watch(kind_, at_, times_.watch);
             note_answer();
+            next_listing_ = times_.listing;
             at_ = changes.at;
             sink_.changed(changes);
             co_await sleep_for(
@@ -94,6 +89,22 @@
         }
     }
 
+    /** Takes a listing over. What is known never gets older. */
+    task<> list()
+    {
+        // Fresh the next time, unless the watch that follows finds the history it needs.
+        const auto mode = std::exchange(next_listing_, read_mode::fresh);
+        auto listing = co_await store_.list(kind_, mode);
+        if (mode == read_mode::stale && synced_ && listing.at <= at_) {
+            listing = co_await store_.list(kind_, read_mode::fresh);
+        }
+        note_answer();
+        at_ = listing.at;
+        listed_ = true;
+        synced_ = true;
+        sink_.listed(listing);
+    }
+
     void note_answer()
     {
         const auto now = boot_clock::now();
@@ -126,6 +137,7 @@
         if (lost) {
             // What happened meanwhile is read anew: lapsed entries cannot be told from events.
             listed_ = false;
+            next_listing_ = read_mode::fresh;
         }
     }
 
@@ -145,6 +157,7 @@
     follower_sink sink_;
     random_engine& random_;
     store_revision at_;
+    read_mode next_listing_ = times_.listing;
     bool listed_ = false;
     bool synced_ = false;
     bool lost_ = false;
--- a/src/store_sync.hpp
+++ b/src/store_sync.hpp
@@ -43,6 +43,10 @@
     std::set<std::string, std::less<>> evacuated_;
 };
 
+/** Changes of upstreams and evacuations are gathered for this part of the time within which they
+ * have to hold; the rest is for the call, the link and a process that was held up. */
+constexpr double gather_part = 0.65;
+
 /** Follows every kind that a VM needs. */
 template <object_store Store>
 class store_sync {
@@ -51,19 +55,18 @@
                const entry_settings& settings, store_applier& applier, upstream_registry& registry,
                random_engine& random)
         : io_(io), store_(store), schema_(schema), settings_(settings),
-          configurations_(store, schema.configurations,
-                          {settings.store_watch, settings.store_gather / 2},
+          gather_(
+              std::chrono::duration_cast<milliseconds>(settings.store_drain_limit * gather_part)),
+          configurations_(store, schema.configurations, {settings.store_watch, gather_ / 2},
                           {[] {}, [&applier](const auto& all) { applier.list_configurations(all); },
                            [&applier](const auto& news) { applier.change_configurations(news); }},
                           random),
-          upstreams_(store, schema.upstreams,
-                     {settings.store_watch, settings.store_gather, read_mode::stale},
+          upstreams_(store, schema.upstreams, {settings.store_watch, gather_, read_mode::stale},
                      {[&registry] { registry.store_returned(boot_clock::now()); },
                       [&applier](const auto& all) { applier.list_upstreams(all); },
                       [&applier](const auto& news) { applier.change_upstreams(news); }},
                      random),
-          evacuations_(store, schema.evacuations,
-                       {settings.store_watch, settings.store_gather, read_mode::stale},
+          evacuations_(store, schema.evacuations, {settings.store_watch, gather_, read_mode::stale},
                        {[] {}, [&applier](const auto& all) { applier.list_evacuations(all); },
                         [&applier](const auto& news) { applier.change_evacuations(news); }},
                        random)
@@ -126,6 +129,7 @@
     Store& store_;
     const store_schema& schema_;
     const entry_settings& settings_;
+    milliseconds gather_;
     store_follower<Store> configurations_;
     store_follower<Store> upstreams_;
     store_follower<Store> evacuations_;
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -55,10 +55,10 @@
     setting_descriptor{"store", "watch", &entry_settings::store_watch, "ms", "29000", 100, 30'000,
                        setting_flag::optional, "How long one watch call waits for a change"},
     setting_descriptor{
-        "store", "gather", &entry_settings::store_gather, "ms", "1300", 0, 10'000,
+        "store", "drain_limit", &entry_settings::store_drain_limit, "ms", "2000", 0, 60'000,
         setting_flag::optional,
-        "Least time between two watch calls for upstreams or evacuations: changes are "
-        "gathered; half of it for configurations"},
+        "An upstream gets nothing more so long after it announced its leaving; changes are "
+        "gathered for a part of it, to save calls"},
     setting_descriptor{"store", "return_grace", &entry_settings::store_return_grace, "ms", "2000",
                        0, 60'000, setting_flag::optional,
                        "How long entries that lapsed in an outage are kept after it"},
