Feature: Hedges, denied repeats and what made a request yield are logged and explained

Change: events SR203 call_hedged and SR204 repeat_denied (most-sends, no-time, may-have-run, no-budget); the calls' lines carry urgent_refused; attempts that are cancelled at a call's end count as possibly run in `runs`. `sniperock explain` tells them. The verdict on a repeat is an enum with names instead of a bool.

Conclusion: each decision that touches a request has its line.

--- a/src/call.cpp
+++ b/src/call.cpp
@@ -84,8 +84,9 @@
 
 task<> call::try_upstreams()
 {
-    const auto began = boot_clock::now();
-    if (context_.yielding.must_yield(service_, route_->priority, began, context_.random)) {
+    urgent_refused_ =
+        context_.yielding.urgent_refused(service_, route_->priority, exchange_->request().arrived);
+    if (must_yield(urgent_refused_, context_.random)) {
         refuse(call_end::yielded);
         co_return;
     }
@@ -144,10 +145,17 @@
         if (const auto ended = take_ended()) {
             handle_ended(*ended);
             if (!*over_ && attempts_.empty()) {
-                bool again = may_repeat(true);
+                const auto verdict = judge_repeat();
+                bool again = verdict == repeat_verdict::allowed;
                 if (again) {
+                    if (sends_ > 0) {
+                        context_.measured.repeats.Increment();
+                    }
                     again = co_await start_attempt(true);
                 }
+                else {
+                    log_repeat_denied(id_, service_, verdict);
+                }
                 if (!again && !*over_) {
                     end_unanswered();
                 }
@@ -177,12 +185,21 @@
 task<> call::hedge()
 {
     hedged_ = true;
-    if (!is_repeatable(route_->kind) || !may_repeat(false)) {
+    if (!is_repeatable(route_->kind)) {
+        co_return;
+    }
+    const auto verdict = judge_repeat();
+    if (verdict != repeat_verdict::allowed) {
+        log_repeat_denied(id_, service_, verdict);
         co_return;
     }
+    const auto& first = *attempts_.front();
+    const auto waited = boot_clock::now() - first.started();
+    const auto first_upstream = first.target().entry.id;
     const bool started = co_await start_attempt(false);
     if (started) {
         context_.measured.hedges.Increment();
+        log_hedge(id_, service_, first_upstream, waited, *attempts_.back());
     }
 }
 
@@ -220,25 +237,24 @@
     }
 }
 
-/** True if the request may be sent once more; counts it. */
-bool call::may_repeat(bool after_failure)
+/** Whether the request may be sent once more; a repeat is taken from the budget. */
+repeat_verdict call::judge_repeat()
 {
-    const bool may_have_run = runs_ > 0;
-    if (sends_ >= std::max(route_->max_attempts, 1) || tried_.size() >= most_tried ||
-        time_left() < least_left || (may_have_run && !is_repeatable(route_->kind))) {
-        return false;
+    if (runs_ > 0 && !is_repeatable(route_->kind)) {
+        return repeat_verdict::may_have_run;
     }
-    if (sends_ == 0) {
-        return true;
+    if (sends_ >= std::max(route_->max_attempts, 1) || tried_.size() >= most_tried) {
+        return repeat_verdict::most_sends;
     }
-    if (!context_.budget_of(service_).spend(boot_clock::now(), context_.fleet.members.size())) {
-        context_.measured.repeats_denied.Increment();
-        return false;
+    if (time_left() < least_left) {
+        return repeat_verdict::no_time;
     }
-    if (after_failure) {
-        context_.measured.repeats.Increment();
+    if (sends_ > 0 &&
+        !context_.budget_of(service_).spend(boot_clock::now(), context_.fleet.members.size())) {
+        context_.measured.repeats_denied.Increment();
+        return repeat_verdict::no_budget;
     }
-    return true;
+    return repeat_verdict::allowed;
 }
 
 /** Passes an upstream's answer on. */
@@ -306,12 +322,13 @@
         last_attempt_ = attempts_.back();
     }
     for (const auto& attempt : std::exchange(attempts_, {})) {
+        runs_ += attempt->may_have_run() ? 1 : 0;
         attempt->cancel();
     }
     context_.measured.ended(service_, route_ == nullptr ? -1 : route_->priority, end,
                             std::chrono::duration<double>(took).count());
     log_call({id_, route_, service_, end, status, sends_, runs_, whole_ms(took),
-              last_attempt_.get(), search_, exchange_->request().arrived},
+              last_attempt_.get(), search_, urgent_refused_, exchange_->request().arrived},
              context_.settings);
 }
 
--- a/src/call.hpp
+++ b/src/call.hpp
@@ -31,7 +31,7 @@
     task<> await_attempts();
     std::shared_ptr<call_attempt> take_ended();
     void handle_ended(call_attempt& attempt);
-    bool may_repeat(bool after_failure);
+    repeat_verdict judge_repeat();
     task<> hedge();
     void pass_on(call_attempt& attempt);
     void refuse(call_end end);
@@ -48,6 +48,8 @@
     std::string service_;
     std::string id_;
     request_estimate estimate_;
+    /** Share of more urgent requests that were refused when this one came. */
+    double urgent_refused_ = 0;
     local_time deadline_;
     std::shared_ptr<async_signal> changed_;
     std::shared_ptr<bool> over_ = std::make_shared<bool>(false);
--- a/src/call_log.cpp
+++ b/src/call_log.cpp
@@ -62,7 +62,31 @@
                {"looked_at", std::to_string(summary.search.looked_at)},
                {"unknown", std::to_string(summary.search.unknown)},
                {"full", std::to_string(summary.search.full)},
-               {"cold_held", std::to_string(summary.search.cold_held)}});
+               {"cold_held", std::to_string(summary.search.cold_held)},
+               {"urgent_refused", percent_text(summary.urgent_refused)}});
+}
+
+void log_repeat_denied(const std::string& id, const std::string& service, repeat_verdict verdict)
+{
+    log_event(event::repeat_denied,
+              {{"id", id}, {"service", service}, {"reason", std::string{to_name(verdict)}}});
+}
+
+void log_hedge(const std::string& id, const std::string& service, const std::string& first,
+               nanoseconds waited, const call_attempt& second)
+{
+    const auto& basis = second.basis();
+    log_event(event::call_hedged,
+              {{"id", id},
+               {"service", service},
+               {"first", first},
+               {"ms", ms_text(waited)},
+               {"upstream", second.target().entry.id},
+               {"busy", std::to_string(basis.busy)},
+               {"slots", std::to_string(basis.slots)},
+               {"slowness", percent_text(basis.slowness)},
+               {"cold", basis.cold ? "1" : "0"},
+               {"report_age_ms", basis.report_age ? ms_text(*basis.report_age) : ""}});
 }
 
 void log_attempt(const std::string& id, const std::string& service, const call_attempt& attempt)
--- a/src/call_log.hpp
+++ b/src/call_log.hpp
@@ -24,6 +24,8 @@
     const call_attempt* attempt;
     /** The last search for an upstream. */
     search_record search;
+    /** Share of more urgent requests that were refused lately. */
+    double urgent_refused;
     local_time arrived;
 };
 
@@ -36,4 +38,14 @@
 /** Logs an attempt that did not bring the answer. */
 void log_attempt(const std::string& id, const std::string& service, const call_attempt& attempt);
 
+/** Logs why a request is not sent once more. */
+void log_repeat_denied(const std::string& id, const std::string& service, repeat_verdict verdict);
+
+/**
+ * Logs that a request was sent to a second upstream while the first still has it.
+ * @param waited since it was sent to @p first.
+ */
+void log_hedge(const std::string& id, const std::string& service, const std::string& first,
+               nanoseconds waited, const call_attempt& second);
+
 } // namespace sniperock
--- a/src/call_type.hpp
+++ b/src/call_type.hpp
@@ -78,6 +78,28 @@
     enum_name<call_end>{call_end::abandoned, "abandoned"},
 };
 
+/** Whether a request is sent once more, or why not. */
+enum class repeat_verdict {
+    allowed,
+    /** As many upstreams as the route allows have had it, or as are tried at most. */
+    most_sends,
+    /** Too little time is left. */
+    no_time,
+    /** It may have run, and its kind may not run twice. */
+    may_have_run,
+    /** The budget of the service's repeats is spent. */
+    no_budget,
+};
+
+template <>
+inline constexpr std::array enum_names<repeat_verdict>{
+    enum_name<repeat_verdict>{repeat_verdict::allowed, "allowed"},
+    enum_name<repeat_verdict>{repeat_verdict::most_sends, "most-sends"},
+    enum_name<repeat_verdict>{repeat_verdict::no_time, "no-time"},
+    enum_name<repeat_verdict>{repeat_verdict::may_have_run, "may-have-run"},
+    enum_name<repeat_verdict>{repeat_verdict::no_budget, "no-budget"},
+};
+
 /** The status of an answer of the VM's own; 503 promises that the request did not run. */
 constexpr int status_of(call_end end)
 {
--- a/src/choice_yield.cpp
+++ b/src/choice_yield.cpp
@@ -21,12 +21,18 @@
 
 } // namespace
 
-bool urgency_yield::must_yield(const std::string& service, int priority, local_time now,
-                               random_engine& random) const
+bool must_yield(double urgent_refused, random_engine& random)
+{
+    std::uniform_real_distribution<double> chance{0, 1};
+    return urgent_refused > tolerated_share &&
+           chance(random) < (urgent_refused - tolerated_share) * strength;
+}
+
+double urgency_yield::urgent_refused(const std::string& service, int priority, local_time now) const
 {
     const auto found = services_.find(service);
     if (found == services_.end()) {
-        return false;
+        return 0;
     }
     double most = 0;
     for (const auto& [other, item] : found->second) {
@@ -34,8 +40,7 @@
             most = std::max(most, share_at(item, now));
         }
     }
-    std::uniform_real_distribution<double> chance{0, 1};
-    return most > tolerated_share && chance(random) < (most - tolerated_share) * strength;
+    return most;
 }
 
 void urgency_yield::note(const std::string& service, int priority, bool refused, local_time now)
--- a/src/choice_yield.hpp
+++ b/src/choice_yield.hpp
@@ -16,9 +16,9 @@
  */
 class urgency_yield {
 public:
-    /** True if a request should leave the slots to more urgent ones. @param priority 0 first. */
-    [[nodiscard]] bool must_yield(const std::string& service, int priority, local_time now,
-                                  random_engine& random) const;
+    /** Share of the requests more urgent than @p priority that were refused; 0 is the first. */
+    [[nodiscard]] double urgent_refused(const std::string& service, int priority,
+                                        local_time now) const;
     /** Notes whether a request of a priority was refused for want of a slot. */
     void note(const std::string& service, int priority, bool refused, local_time now);
 
@@ -34,4 +34,7 @@
     std::map<std::string, std::map<int, refusals>, std::less<>> services_;
 };
 
+/** True if a request leaves the slots to more urgent ones. */
+bool must_yield(double urgent_refused, random_engine& random);
+
 } // namespace sniperock
--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -23,6 +23,8 @@
     call_ended = 200,
     call_troubled = 201,
     attempt_failed = 202,
+    call_hedged = 203,
+    repeat_denied = 204,
     // 3xx: upstreams.
     upstream_silent = 300,
     upstream_replaced = 301,
--- a/src/explain.cpp
+++ b/src/explain.cpp
@@ -15,24 +15,31 @@
     return found == line.end() ? std::string{} : found->second;
 }
 
+/** The second of the pair that begins with @p key, or @p key itself. */
+std::string look_up(const auto& table, std::string_view key)
+{
+    const auto found =
+        std::ranges::find(table, key, &std::pair<std::string_view, std::string_view>::first);
+    return std::string{found == table.end() ? key : found->second};
+}
+
 /** What the end of a call means. */
 std::string meaning(std::string_view end)
 {
-    static constexpr std::array<std::pair<std::string_view, std::string_view>, 10> table{{
+    static constexpr std::array<std::pair<std::string_view, std::string_view>, 11> table{{
         {"answered", "an upstream's answer was passed on"},
         {"no-route", "no route of the configuration in force matches"},
         {"no-configuration", "this VM had not read a configuration yet"},
         {"no-upstream", "the registry named no upstream that may be used"},
         {"no-slot", "no upstream that was asked could answer in time"},
+        {"yielded", "the slots were left to more urgent requests"},
         {"not-run", "the upstreams that were tried did not run it"},
         {"failed", "it may have run, and no whole answer came"},
         {"timed-out", "it may have run, and the time was up"},
         {"expired", "the time was up before it was sent"},
         {"abandoned", "the caller closed its connection"},
     }};
-    const auto found =
-        std::ranges::find(table, end, &std::pair<std::string_view, std::string_view>::first);
-    return std::string{found == table.end() ? end : found->second};
+    return look_up(table, end);
 }
 
 void tell_basis(std::ostringstream& out, const log_fields& line)
@@ -56,6 +63,33 @@
         << " without a fresh report, " << field(line, "cold_held") << " held back as cold\n";
 }
 
+void tell_yield(std::ostringstream& out, const log_fields& line)
+{
+    if (field(line, "end") == "yielded") {
+        out << "      of the more urgent requests of the service, " << field(line, "urgent_refused")
+            << "% had found no slot lately\n";
+    }
+}
+
+/** What a reason not to send a request once more means. */
+std::string meaning_of_denial(std::string_view reason)
+{
+    static constexpr std::array<std::pair<std::string_view, std::string_view>, 4> table{{
+        {"most-sends", "as many upstreams as allowed have had it"},
+        {"no-time", "too little time is left"},
+        {"may-have-run", "it may have run, and may not run twice"},
+        {"no-budget", "the budget of repeats is spent"},
+    }};
+    return look_up(table, reason);
+}
+
+void tell_hedge(std::ostringstream& out, const log_fields& line)
+{
+    out << "no answer of " << field(line, "first") << " for " << field(line, "ms")
+        << " ms, sent to " << field(line, "upstream") << " too\n";
+    tell_basis(out, line);
+}
+
 void tell(std::ostringstream& out, const log_fields& line)
 {
     out << field(line, "time") << " " << field(line, "vm") << ": ";
@@ -66,6 +100,14 @@
         tell_basis(out, line);
         return;
     }
+    if (field(line, "name") == "call_hedged") {
+        tell_hedge(out, line);
+        return;
+    }
+    if (field(line, "name") == "repeat_denied") {
+        out << "not sent once more: " << meaning_of_denial(field(line, "reason")) << "\n";
+        return;
+    }
     out << "route " << field(line, "route") << ", status " << field(line, "status") << " after "
         << field(line, "ms") << " ms (target " << field(line, "target_ms")
         << "): " << meaning(field(line, "end")) << "\n";
@@ -77,6 +119,7 @@
     out << "\n";
     tell_basis(out, line);
     tell_search(out, line);
+    tell_yield(out, line);
 }
 
 } // namespace
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -34,12 +34,12 @@
     event_descriptor{
         event::call_ended, event_level::info, "calls", "call_ended",
         "id route service end status sends runs ms target_ms upstream sent_ms busy slots "
-        "slowness cold report_age_ms looks looked_at unknown full cold_held",
+        "slowness cold report_age_ms looks looked_at unknown full cold_held urgent_refused",
         "A call went well; a share of them is logged, by id."},
     event_descriptor{
         event::call_troubled, event_level::info, "calls", "call_troubled",
         "id route service end status sends runs ms target_ms upstream sent_ms busy slots "
-        "slowness cold report_age_ms looks looked_at unknown full cold_held",
+        "slowness cold report_age_ms looks looked_at unknown full cold_held urgent_refused",
         "A call was refused, failed, was sent more than once, or was late; sent_ms is "
         "when it was sent, the rest as for attempt_failed."},
     event_descriptor{
@@ -49,6 +49,14 @@
         "An attempt did not bring the answer; from upstream on, the fields are what the "
         "choice was made on: requests there, slots, slowness in percent, age of the "
         "report, upstreams looked at."},
+    event_descriptor{event::call_hedged, event_level::info, "calls", "call_hedged",
+                     "id service first ms upstream busy slots slowness cold report_age_ms",
+                     "The first upstream had not answered for ms; the request was sent to another "
+                     "too, chosen on the fields from busy on."},
+    event_descriptor{event::repeat_denied, event_level::info, "calls", "repeat_denied",
+                     "id service reason",
+                     "The request was not sent once more: as many upstreams as allowed have had "
+                     "it, no time is left, it may have run, or the budget is spent."},
     // 3xx: upstreams.
     event_descriptor{event::upstream_silent, event_level::info, "upstreams", "upstream_silent",
                      "upstream service", "A probe on a new connection had no answer."},
--- a/src/tests/choice_yield_test.cpp
+++ b/src/tests/choice_yield_test.cpp
@@ -20,7 +20,7 @@
     random_engine random{7};
     int count = 0;
     for (int at = 0; at < 1000; ++at) {
-        count += yielding.must_yield(service, priority, now, random) ? 1 : 0;
+        count += must_yield(yielding.urgent_refused(service, priority, now), random) ? 1 : 0;
     }
     return count;
 }
@@ -51,7 +51,7 @@
         free = std::min(free + 1.0 / slots_in, 3.0);
         const int priority = kind(random);
         ++seen.asked.at(priority);
-        if (yielding.must_yield("jobs", priority, now, random)) {
+        if (must_yield(yielding.urgent_refused("jobs", priority, now), random)) {
             continue;
         }
         const bool refused = free < 1;
--- a/src/tests/explain_test.cpp
+++ b/src/tests/explain_test.cpp
@@ -42,6 +42,22 @@
     CHECK(text.find("c-10") == std::string::npos);
 }
 
+TEST_CASE("hedges, denied repeats and yields are told with what decided them")
+{
+    std::istringstream log(
+        "time=1.1 name=call_hedged vm=a id=c-1 service=jobs first=u-1 ms=240 upstream=u-2 busy=0 "
+        "slots=3 slowness=100 cold=0 report_age_ms=1\n"
+        "time=1.2 name=repeat_denied vm=a id=c-1 service=jobs reason=most-sends\n"
+        "time=1.3 name=call_troubled vm=b id=c-1 route=r service=jobs end=yielded status=503 "
+        "sends=0 runs=0 ms=0 target_ms=300 upstream=\"\" looks=0 urgent_refused=42\n");
+    request_story story("c-1");
+    story.read(log);
+    const auto text = story.text();
+    CHECK(text.find("no answer of u-1 for 240 ms, sent to u-2 too") != std::string::npos);
+    CHECK(text.find("as many upstreams as allowed have had it") != std::string::npos);
+    CHECK(text.find("42% had found no slot lately") != std::string::npos);
+}
+
 TEST_CASE("a request without lines is said to have none")
 {
     std::istringstream log("time=1 id=other\n");
