--- a/src/call_log.cpp
+++ b/src/call_log.cpp
@@ -27,6 +27,11 @@
     return std::to_string(static_cast<int>(factor * percent));
 }
 
+std::string whole_text(std::optional<double> value)
+{
+    return value ? std::to_string(static_cast<std::int64_t>(*value)) : std::string{};
+}
+
 } // namespace
 
 void log_call(const call_summary& summary, const entry_settings& settings)
@@ -63,6 +68,7 @@
                {"unknown", std::to_string(summary.search.unknown)},
                {"full", std::to_string(summary.search.full)},
                {"cold_held", std::to_string(summary.search.cold_held)},
+               {"best_ms", whole_text(summary.search.best_ms)},
                {"urgent_refused", percent_text(summary.urgent_refused)}});
 }
 
--- a/src/call_picker.cpp
+++ b/src/call_picker.cpp
@@ -182,6 +182,9 @@
         const auto best = std::ranges::min_element(sample, {}, [&](const candidate& what) {
             return context_.policy.rank(what, request_.estimate, now);
         });
+        record_.best_ms = best == sample.end()
+                              ? std::nullopt
+                              : std::optional{expected_ms(*best, request_.estimate, now)};
         if (!admits(best == sample.end() ? nullptr : &*best, now)) {
             return std::nullopt;
         }
@@ -204,9 +207,7 @@
                               {},
                               context_.settings.wait_share,
                               context_.settings.search_share};
-        if (best != nullptr) {
-            input.best_ms = expected_ms(*best, request_.estimate, now);
-        }
+        input.best_ms = record_.best_ms;
         const auto verdict = decide_admission(input);
         // What is left of the probes is kept for requests that have not looked at all.
         const bool few_probes = context_.probes.fill() < kept_for_first_look;
--- a/src/call_picker.hpp
+++ b/src/call_picker.hpp
@@ -31,6 +31,8 @@
     std::size_t unknown = 0;
     std::size_t full = 0;
     std::size_t cold_held = 0;
+    /** Expected time at the best one of the last look, in ms; empty if none could take it. */
+    std::optional<double> best_ms;
 };
 
 /** An upstream that takes the request; the slot is counted as used until release_slot(). */
--- a/src/explain.cpp
+++ b/src/explain.cpp
@@ -60,7 +60,10 @@
     }
     out << "      looked " << field(line, "looks") << " times at " << field(line, "looked_at")
         << " upstreams: " << field(line, "full") << " full, " << field(line, "unknown")
-        << " without a fresh report, " << field(line, "cold_held") << " held back as cold\n";
+        << " without a fresh report, " << field(line, "cold_held") << " held back as cold";
+    const auto best = field(line, "best_ms");
+    out << (best.empty() ? "; none could take it\n"
+                         : "; the best expected to take " + best + " ms\n");
 }
 
 void tell_yield(std::ostringstream& out, const log_fields& line)
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -34,14 +34,15 @@
     event_descriptor{
         event::call_ended, event_level::info, "calls", "call_ended",
         "id route service end status sends runs ms target_ms upstream sent_ms busy slots "
-        "slowness cold report_age_ms looks looked_at unknown full cold_held urgent_refused",
+        "slowness cold report_age_ms looks looked_at unknown full cold_held best_ms urgent_refused",
         "A call went well; a share of them is logged, by id."},
     event_descriptor{
         event::call_troubled, event_level::info, "calls", "call_troubled",
         "id route service end status sends runs ms target_ms upstream sent_ms busy slots "
-        "slowness cold report_age_ms looks looked_at unknown full cold_held urgent_refused",
+        "slowness cold report_age_ms looks looked_at unknown full cold_held best_ms urgent_refused",
         "A call was refused, failed, was sent more than once, or was late; sent_ms is "
-        "when it was sent, the rest as for attempt_failed."},
+        "when it was sent, best_ms the expected time at the best upstream of the last look, "
+        "the rest as for attempt_failed."},
     event_descriptor{
         event::attempt_failed, event_level::info, "calls", "attempt_failed",
         "id service end status ms upstream busy slots slowness cold report_age_ms "
--- a/src/tests/explain_test.cpp
+++ b/src/tests/explain_test.cpp
@@ -38,7 +38,8 @@
     REQUIRE(attempt != std::string::npos);
     REQUIRE(refusal != std::string::npos);
     CHECK(attempt < refusal);
-    CHECK(text.find("9 full, 1 without a fresh report") != std::string::npos);
+    CHECK(text.find("9 full, 1 without a fresh report, 0 held back as cold; none could take it") !=
+          std::string::npos);
     CHECK(text.find("c-10") == std::string::npos);
 }
 
