Fix: What was sent to a cold upstream counts on when the registry tells of its return

An upstream came back under its old id. Its probe said that it is cold, so each VM sent its two requests; then the registry told of the new life, the VM made a new record of it, which knew nothing of these two, and sent two more within the same second.

Change: the registry keeps what was sent to a cold upstream by its id until the window is over, and the next record under that id takes it over. Test in upstream_registry_test, which fails without (counts 0 instead of 2), with the entry replaced and with it removed first.

Conclusion: the limit binds one upstream, whatever it was learned from.

--- a/src/sliding_count.hpp
+++ b/src/sliding_count.hpp
@@ -22,6 +22,11 @@
         }
         return times_.size();
     }
+    /** No event is in the window that ends at @p now. */
+    [[nodiscard]] bool empty(local_time now) const
+    {
+        return times_.empty() || times_.back() + window_ <= now;
+    }
     /** When the oldest event leaves the window; @p now if there is none. */
     [[nodiscard]] local_time next_leaves(local_time now) const
     {
--- a/src/tests/upstream_registry_test.cpp
+++ b/src/tests/upstream_registry_test.cpp
@@ -83,6 +83,26 @@
     CHECK(usable(registry) == 10);
 }
 
+TEST_CASE("cold return under the same id: what was sent before the registry told counts")
+{
+    const bool removed_first = GENERATE(false, true);
+    auto registry = ten();
+    const auto told_by_probe = registry.of_service("jobs").front();
+    told_by_probe->cold_sends.add(start);
+    told_by_probe->cold_sends.add(start + milliseconds{100});
+    const auto now = start + milliseconds{300};
+    if (removed_first) {
+        registry.remove("u-0", now);
+    }
+    registry.put(entry(0, 2), now);
+    const auto& all = registry.of_service("jobs");
+    const auto found = std::ranges::find_if(
+        all, [](const auto& item) { return item->entry.id == "u-0" && !item->gone; });
+    REQUIRE(found != all.end());
+    CHECK((*found)->cold_sends.count(now) == 2);
+    CHECK((*found)->cold_sends.count(start + cold_window + milliseconds{50}) == 1);
+}
+
 TEST_CASE("an upstream that moved to another service is gone from the first")
 {
     auto registry = ten();
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -53,6 +53,10 @@
     auto item = std::make_shared<upstream>();
     item->entry = entry;
     item->cold_until = now + entry.cold_remaining;
+    std::erase_if(dropped_cold_sends_, [now](const auto& sent) { return sent.second.empty(now); });
+    if (const auto sent = dropped_cold_sends_.extract(entry.id)) {
+        item->cold_sends = sent.mapped();
+    }
     by_service_[entry.service].push_back(item);
     by_id_.emplace(entry.id, std::move(item));
 }
@@ -112,6 +116,7 @@
 {
     const auto found = by_id_.find(id);
     const auto item = found->second;
+    dropped_cold_sends_.insert_or_assign(id, item->cold_sends);
     by_id_.erase(found);
     disown(*item);
     std::erase(by_service_[item->entry.service], item);
--- a/src/upstream_registry.hpp
+++ b/src/upstream_registry.hpp
@@ -74,6 +74,9 @@
     std::map<std::string, upstream_ptr, std::less<>> by_id_;
     std::map<std::string, std::vector<upstream_ptr>, std::less<>> by_service_;
     std::set<std::string, std::less<>> evacuated_;
+    /** What was lately sent to upstreams while they were cold, by the ids of dropped entries: a
+     * probe tells of a return before the registry does, and the limit is one for both. */
+    std::map<std::string, sliding_count, std::less<>> dropped_cold_sends_;
     /** Removals without notice in the last second. */
     sliding_count sudden_{sudden_window};
 };
