Feature: A fault soak with VMs as processes of their own

Change: sniperock_soak (platform/soak) starts VMs by posix_spawn, signals and waits for them by id, plays store, upstreams and links as stand-ins, draws 27 kinds of faults from a seed and checks the promises from what callers and upstreams saw. The link stand-in (a loopback proxy) is a stand-in like the others and has a path test of its own. What every caller does (directory, request, whole answer) is written once (load_caller), used by the load tool and the soak.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PRESET ?= release
 BUILD := build/$(PRESET)
 
-.PHONY: deps build demo test lint format clean
+.PHONY: deps build demo soak test lint format clean
 
 deps:
 	@tools/install-deps.sh
@@ -14,6 +14,9 @@
 demo: build
 	@$(BUILD)/sniperock demo
 
+soak: build
+	@tools/soak.sh $(BUILD)
+
 test: build
 	@ctest --preset $(PRESET)
 
--- a/src/load_runner.cpp
+++ b/src/load_runner.cpp
@@ -1,7 +1,7 @@
 /** @file load_runner.cpp Callers that ask the directory, connect, and check each answer. */
 #include "load_runner.hpp"
 
-#include "http_write.hpp"
+#include "load_caller.hpp"
 #include "net_endpoint.hpp"
 
 #include <algorithm>
@@ -99,22 +99,11 @@
         known_until_ = {};
         co_return answer;
     }
-    std::string request;
-    append_request_line(request, plan_.method, plan_.target);
-    append_header(request, "Host", plan_.host);
-    append_header(request, dialect_.attempt_id, id);
-    const auto left_ms = std::chrono::duration_cast<milliseconds>(left).count();
-    append_header(request, dialect_.deadline_ms, std::to_string(left_ms));
-    if (plan_.method == "POST") {
-        append_header(request, "Content-Length", "0");
-    }
-    connection->send(request + "\r\n", plan_.method == "HEAD");
-    auto progress = co_await connection->read_head("", "");
+    const auto left_ms = std::chrono::duration_cast<milliseconds>(left);
     std::string body;
-    while (progress == read_progress::more) {
-        body.clear();
-        progress = co_await connection->read_body(body);
-    }
+    const caller_request request{plan_.method, plan_.target, plan_.host, id, left_ms};
+    const auto bytes = format_caller_request(dialect_, request);
+    const auto progress = co_await exchange_whole(connection, bytes, body);
     if (progress == read_progress::complete) {
         const auto& headers = connection->head().headers;
         answer.status = connection->head().status;
@@ -133,8 +122,12 @@
 {
     if (boot_clock::now() >= known_until_) {
         for (const auto& directory : plan_.directories) {
-            const bool answered = co_await ask_directory(directory);
-            if (answered) {
+            const directory_query query{plan_.host, "", plan_.failure_domain};
+            const auto answer =
+                co_await ask_directory(io_, dialect_, directory, query, directory_limit);
+            if (answer && !answer->addresses.empty()) {
+                known_ = *answer;
+                known_until_ = boot_clock::now() + answer->keep;
                 break;
             }
         }
@@ -146,33 +139,4 @@
     co_return parse_endpoint(known_.addresses.at(place(random_)));
 }
 
-task<bool> load_runner::ask_directory(asio::ip::tcp::endpoint endpoint)
-{
-    const auto connection = std::make_shared<http_connection>(tcp_socket(io_.get_executor()));
-    const time_limit limit(io_.get_executor(), directory_limit,
-                           [connection] { connection->close(); });
-    const bool connected = co_await connection->connect(endpoint);
-    if (!connected) {
-        co_return false;
-    }
-    std::string request;
-    append_request_line(request, "GET",
-                        dialect_.format_directory_query({plan_.host, "", plan_.failure_domain}));
-    append_header(request, "Host", plan_.host);
-    connection->send(request + "\r\n", false);
-    std::string body;
-    auto progress = co_await connection->read_head("", "");
-    while (progress == read_progress::more) {
-        progress = co_await connection->read_body(body);
-    }
-    const auto answer = dialect_.parse_directory_answer(body);
-    connection->close();
-    if (progress != read_progress::complete || !answer || answer->addresses.empty()) {
-        co_return false;
-    }
-    known_ = *answer;
-    known_until_ = boot_clock::now() + answer->keep;
-    co_return true;
-}
-
 } // namespace sniperock
--- a/src/load_runner.hpp
+++ b/src/load_runner.hpp
@@ -35,7 +35,6 @@
     task<> one_request(std::uint64_t number);
     task<reply> ask(std::string id, nanoseconds left);
     task<std::optional<asio::ip::tcp::endpoint>> pick_address();
-    task<bool> ask_directory(asio::ip::tcp::endpoint endpoint);
 
     asio::io_context& io_;
     const wire_dialect& dialect_;
