Fix: Less urgent requests yield at most six times of ten

Cause: reading the diff: with more urgent requests alone than slots, the share of refused ones stays high, and less urgent ones yielded always. No kind may be served less than a quarter as often as all.

Change: a limit of 0.6.

--- a/src/choice_yield.cpp
+++ b/src/choice_yield.cpp
@@ -16,6 +16,9 @@
 /** Beyond it less urgent requests yield this many times as often as more urgent ones are refused.
  */
 constexpr double strength = 3;
+/** But never more often than this, however long more urgent ones are refused: no kind of request
+ * may be served less than a quarter as often as all. */
+constexpr double most_yielding = 0.6;
 /** Services that are remembered; operators add and remove services all the time. */
 constexpr std::size_t most_services = 1024;
 
@@ -24,8 +27,8 @@
 bool must_yield(double urgent_refused, random_engine& random)
 {
     std::uniform_real_distribution<double> chance{0, 1};
-    return urgent_refused > tolerated_share &&
-           chance(random) < (urgent_refused - tolerated_share) * strength;
+    const double part = std::min((urgent_refused - tolerated_share) * strength, most_yielding);
+    return chance(random) < part;
 }
 
 double urgency_yield::urgent_refused(const std::string& service, int priority, local_time now) const
