Feature: Metrics by route, age of the configuration and dropped log lines; upstreams that answer again are logged

Cause: the operations issue asks for latency by service, route and outcome, the age of the configuration, log lines dropped, and a line for each lost and regained dependency. Latency had the priority instead of the route, the other two were missing, and a silent upstream was logged at each probe (dozens of lines a second that used up the log's rate) but not when it came back.

Change: sniperock_call_seconds by service, route and end, at most 250 series; sniperock_config_age_seconds; sniperock_log_lines_dropped_total. SR300 is written once when an upstream goes silent, SR302 upstream_back when it answers.

--- a/src/call.cpp
+++ b/src/call.cpp
@@ -325,7 +325,7 @@
         runs_ += attempt->may_have_run() ? 1 : 0;
         attempt->cancel();
     }
-    context_.measured.ended(service_, route_ == nullptr ? -1 : route_->priority, end,
+    context_.measured.ended(service_, route_ == nullptr ? std::string{} : route_->name, end,
                             std::chrono::duration<double>(took).count());
     log_call({id_, route_, service_, end, status, sends_, runs_, whole_ms(took),
               last_attempt_.get(), search_, urgent_refused_, exchange_->request().arrived},
--- a/src/call_attempt.cpp
+++ b/src/call_attempt.cpp
@@ -3,6 +3,7 @@
 
 #include "event_type.hpp"
 #include "http_write.hpp"
+#include "upstream_health.hpp"
 
 #include <algorithm>
 
@@ -214,6 +215,7 @@
     }
     switch (end) {
     case attempt_end::answered:
+        note_answered(target);
         answer_.status >= http_status::first_server_failure ? target.failures.failed(now)
                                                             : target.failures.succeeded(now);
         break;
@@ -221,7 +223,7 @@
         target.failures.failed(now);
         break;
     case attempt_end::not_sent:
-        target.failures.went_silent(now);
+        note_silent(target, now);
         break;
     case attempt_end::misdirected:
         context_.registry.disown(target);
--- a/src/call_metrics.cpp
+++ b/src/call_metrics.cpp
@@ -3,6 +3,15 @@
 
 namespace sniperock {
 
+namespace {
+
+/** Series of calls; operators add and remove routes all the time, and a series is kept for ever. */
+constexpr std::size_t most_series = 250;
+/** Takes the place of routes beyond that. */
+constexpr const char* other_routes = "other";
+
+} // namespace
+
 call_metrics::call_metrics(metrics& registry)
     : repeats(registry.counter("sniperock_repeats_total", "Requests sent once more",
                                {{"what", "retry"}})),
@@ -17,13 +26,20 @@
 {
 }
 
-void call_metrics::ended(const std::string& service, int priority, call_end end, double seconds)
+void call_metrics::ended(const std::string& service, const std::string& route, call_end end,
+                         double seconds)
 {
-    auto& series = calls_[{service, {priority, end}}];
+    const auto known = calls_.find({service, route, end});
+    if (known != calls_.end()) {
+        known->second->Observe(seconds);
+        return;
+    }
+    const bool room = calls_.size() < most_series;
+    auto& series = calls_[{service, room ? route : other_routes, end}];
     if (series == nullptr) {
         series = &registry_.latency("sniperock_call_seconds", "Time from request to answer",
                                     {{"service", service},
-                                     {"priority", std::to_string(priority)},
+                                     {"route", room ? route : other_routes},
                                      {"end", std::string{to_name(end)}}});
     }
     series->Observe(seconds);
--- a/src/call_metrics.hpp
+++ b/src/call_metrics.hpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace sniperock {
@@ -15,8 +16,12 @@
 public:
     explicit call_metrics(metrics& registry);
 
-    /** A call ended. @param seconds from its arrival to its answer. */
-    void ended(const std::string& service, int priority, call_end end, double seconds);
+    /**
+     * A call ended.
+     * @param route its name; empty if none matched.
+     * @param seconds from its arrival to its answer.
+     */
+    void ended(const std::string& service, const std::string& route, call_end end, double seconds);
     /** An attempt ended. */
     void attempt_ended(const std::string& service, attempt_end end);
 
@@ -27,7 +32,7 @@
 
 private:
     metrics& registry_;
-    std::map<std::pair<std::string, std::pair<int, call_end>>, prometheus::Histogram*> calls_;
+    std::map<std::tuple<std::string, std::string, call_end>, prometheus::Histogram*> calls_;
     std::map<std::pair<std::string, attempt_end>, prometheus::Counter*> attempts_;
 };
 
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -326,6 +326,13 @@
         const std::chrono::duration<double> silence = now - sync.registry_seen();
         set("sniperock_config_version", "Version of the configuration in force",
             table ? static_cast<double>(table->config().version.value) : 0);
+        const std::chrono::duration<double> config_age =
+            now - applier.configured_at().value_or(now);
+        set("sniperock_config_age_seconds", "Since the configuration in force was read",
+            config_age.count());
+        const auto dropped = dropped_log_lines();
+        measured.counter("sniperock_log_lines_dropped_total", "Log lines that were not written")
+            .Increment(static_cast<double>(dropped - std::exchange(dropped_told, dropped)));
         set("sniperock_upstreams", "Registry entries known", static_cast<double>(registry.size()));
         set("sniperock_store_silence_seconds", "Since the store last told of upstreams",
             silence.count());
@@ -342,6 +349,8 @@
         item->respond(answer);
     }
 
+    /** Dropped log lines that the metrics have counted. */
+    std::uint64_t dropped_told = 0;
     asio::io_context io{1};
     entry_settings settings;
     entry_adapter adapter;
--- a/src/event.cpp
+++ b/src/event.cpp
@@ -32,6 +32,9 @@
 
 std::atomic<event_level> least_level{event_level::info};
 
+/** Lines that were not written, by the rate or the buffer's limit. */
+std::atomic<std::uint64_t> lines_dropped{0};
+
 /** The log of the process: its writer, and how many lines of a second were written. */
 struct process_log {
     std::mutex guard;
@@ -122,6 +125,7 @@
     }
     if (log.lines_in_second >= log.setup.rate) {
         ++log.lines_over_rate;
+        ++lines_dropped;
         return false;
     }
     ++log.lines_in_second;
@@ -139,9 +143,11 @@
     auto& log = the_log();
     const std::lock_guard lock(log.guard);
     if (!log.writer) {
-        log.writer = std::make_unique<log_writer>(
-            STDOUT_FILENO, log.setup.buffer,
-            [vm = log.setup.vm](std::uint64_t lines) { return dropped_line(vm, lines); });
+        log.writer = std::make_unique<log_writer>(STDOUT_FILENO, log.setup.buffer,
+                                                  [vm = log.setup.vm](std::uint64_t lines) {
+                                                      lines_dropped += lines;
+                                                      return dropped_line(vm, lines);
+                                                  });
     }
     if (!is_rated(row) || within_rate(log)) {
         log.writer->write(format_line(row, log.setup.vm, fields));
@@ -163,6 +169,11 @@
     }
 }
 
+std::uint64_t dropped_log_lines()
+{
+    return lines_dropped;
+}
+
 void close_log()
 {
     auto& log = the_log();
--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -28,6 +28,7 @@
     // 3xx: upstreams.
     upstream_silent = 300,
     upstream_replaced = 301,
+    upstream_back = 302,
     // 5xx: store.
     store_lost = 500,
     store_back = 501,
@@ -83,6 +84,8 @@
 
 /** Sets the log up; without it lines are written with defaults. */
 void set_up_log(const log_setup& setup);
+/** Lines of this process that were not written, by the rate or the buffer's limit. */
+std::uint64_t dropped_log_lines();
 /** Writes the last lines; the end of a process. */
 void close_log();
 
--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -39,6 +39,7 @@
         const auto version = config.version;
         const auto routes = config.routes.size();
         if (routes_.apply(std::move(config))) {
+            configured_at_ = boot_clock::now();
             log_event(event::config_applied, {{"version", std::to_string(version.value)},
                                               {"routes", std::to_string(routes)},
                                               {"revision", std::to_string(object.revision.value)}});
--- a/src/store_sync.hpp
+++ b/src/store_sync.hpp
@@ -11,6 +11,7 @@
 #include <asio/io_context.hpp>
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -30,6 +31,8 @@
     void change_upstreams(const store_changes& changes);
     void list_evacuations(const store_listing& listing);
     void change_evacuations(const store_changes& changes);
+    /** When the configuration in force was read; empty if there is none. */
+    [[nodiscard]] std::optional<local_time> configured_at() const { return configured_at_; }
 
 private:
     void apply_configuration(const stored_object& object);
@@ -41,6 +44,7 @@
     upstream_registry& registry_;
     std::function<void()> changed_;
     std::set<std::string, std::less<>> evacuated_;
+    std::optional<local_time> configured_at_;
 };
 
 /** Changes of upstreams and evacuations are gathered for this part of the time within which they
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -60,9 +60,13 @@
                      "it, no time is left, it may have run, or the budget is spent."},
     // 3xx: upstreams.
     event_descriptor{event::upstream_silent, event_level::info, "upstreams", "upstream_silent",
-                     "upstream service", "A probe on a new connection had no answer."},
+                     "upstream service",
+                     "An upstream that answered had no answer to a probe on a new connection, or "
+                     "could not be connected to."},
     event_descriptor{event::upstream_replaced, event_level::info, "upstreams", "upstream_replaced",
                      "upstream service", "Another upstream answers at this one's address."},
+    event_descriptor{event::upstream_back, event_level::info, "upstreams", "upstream_back",
+                     "upstream service", "An upstream that was silent answers again."},
     // 5xx: store.
     event_descriptor{event::store_lost, event_level::warning, "store", "store_lost",
                      "kind failure reason", "The store does not answer about this kind."},
--- a/src/tests/upstream_failures_test.cpp
+++ b/src/tests/upstream_failures_test.cpp
@@ -27,7 +27,8 @@
     local_time now{seconds{100}};
     nanoseconds last{0};
     for (int at = 0; at < 12; ++at) {
-        record.went_silent(now);
+        // Only the first silence after an answer is news.
+        CHECK(record.went_silent(now) == (at == 0));
         const auto began = now;
         while (record.silent(now)) {
             now += milliseconds{10};
@@ -36,7 +37,8 @@
         last = now - began;
     }
     CHECK(last <= milliseconds{4000});
-    record.answered();
-    record.went_silent(now);
+    CHECK(record.answered());
+    CHECK_FALSE(record.answered());
+    CHECK(record.went_silent(now));
     CHECK_FALSE(record.silent(now + milliseconds{250}));
 }
--- a/src/upstream_failures.cpp
+++ b/src/upstream_failures.cpp
@@ -28,7 +28,6 @@
 {
     ratio_ = ratio(now) * (1 - newest_weight);
     at_ = now;
-    answered();
 }
 
 void failure_record::failed(local_time now)
@@ -37,11 +36,11 @@
     at_ = now;
 }
 
-void failure_record::went_silent(local_time now)
+bool failure_record::went_silent(local_time now)
 {
     const auto pause = first_pause * (1U << std::min(silences_, most_doublings));
-    ++silences_;
     silent_until_ = now + std::min<milliseconds>(pause, longest_pause);
+    return silences_++ == 0;
 }
 
 } // namespace sniperock
--- a/src/upstream_probe.cpp
+++ b/src/upstream_probe.cpp
@@ -1,8 +1,8 @@
 /** @file upstream_probe.cpp Asks upstreams for their load and health. */
 #include "upstream_probe.hpp"
 
-#include "event_type.hpp"
 #include "http_write.hpp"
+#include "upstream_health.hpp"
 
 #include <algorithm>
 
@@ -61,9 +61,7 @@
     if (!answered) {
         connection->close();
         unanswered_.Increment();
-        target->failures.went_silent(now);
-        log_event(event::upstream_silent,
-                  {{"upstream", target->entry.id}, {"service", target->entry.service}});
+        note_silent(*target, now);
     }
     else if (round->closed) {
         pool_.put_back(*target, connection, now);
@@ -114,7 +112,7 @@
         return;
     }
     item.unwell = head.status != http_status::ok;
-    item.failures.answered();
+    note_answered(item);
     learn(item, head.headers, now);
 }
 
--- a/src/upstream_type.hpp
+++ b/src/upstream_type.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sniperock {
@@ -57,13 +58,16 @@
     [[nodiscard]] double ratio(local_time now) const;
     /** No answer came at all lately: not to be tried while others are there. */
     [[nodiscard]] bool silent(local_time now) const { return now < silent_until_; }
-    /** A connection or a probe had no answer; the next try is put off, longer each time. */
-    void went_silent(local_time now);
-    /** It answers again. */
-    void answered()
+    /**
+     * A connection or a probe had no answer; the next try is put off, longer each time.
+     * @return true if it had answered until then.
+     */
+    bool went_silent(local_time now);
+    /** An answer came. @return true if it had been silent until then. */
+    bool answered()
     {
-        silences_ = 0;
         silent_until_ = {};
+        return std::exchange(silences_, 0) > 0;
     }
 
 private:
