--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -2,6 +2,7 @@
 #include "directory.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace sniperock {
 namespace {
@@ -20,7 +21,7 @@
 
 std::vector<std::string> directory_addresses(const std::vector<member_entry>& members,
                                              std::string_view failure_domain,
-                                             const member_entry& self)
+                                             const member_entry& self, random_engine& random)
 {
     std::vector<std::string> all;
     std::vector<std::string> near;
@@ -37,8 +38,10 @@
     if (answer.empty()) {
         answer.push_back(callers_address(self));
     }
-    answer.resize(std::min(answer.size(), most_addresses));
-    return answer;
+    std::vector<std::string> named;
+    std::ranges::sample(answer, std::back_inserter(named),
+                        static_cast<std::ptrdiff_t>(most_addresses), random);
+    return named;
 }
 
 } // namespace sniperock
--- a/src/directory.hpp
+++ b/src/directory.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "member_table.hpp"
+#include "random_type.hpp"
 
 #include <string>
 #include <string_view>
@@ -15,9 +16,10 @@
  * ready.
  * @param members the living VMs.
  * @param self this VM.
+ * @param random picks those that are named if there are more than an answer holds.
  */
 std::vector<std::string> directory_addresses(const std::vector<member_entry>& members,
                                              std::string_view failure_domain,
-                                             const member_entry& self);
+                                             const member_entry& self, random_engine& random);
 
 } // namespace sniperock
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -305,7 +305,7 @@
         }
         const auto query = adapter.dialect.parse_directory_query(target);
         const auto addresses = directory_addresses(members.alive(boot_clock::now()),
-                                                   query.failure_domain, members.self());
+                                                   query.failure_domain, members.self(), random);
         caller_answer answer{http_status::ok, {}, {}};
         answer.headers.add("Content-Type", "application/json");
         answer.body = adapter.dialect.format_directory_answer(addresses, settings.directory_ttl);
