Fix: A slow first answer does not make a VM refuse a route for good

The log of VM 2: its first answer of `book` after a restart took some 400 ms, so the route's work was learned as that; the target is 300 ms. From then on every request was refused (best_ms=416 for 60 s), so no answer came from which the work could have been learned anew.

Conclusion: a wrong estimate corrects itself.

--- a/src/choice_estimate.cpp
+++ b/src/choice_estimate.cpp
@@ -10,6 +10,10 @@
 constexpr double newest_weight = 0.05;
 /** Work that is assumed before the first answer: targets leave room for a slow moment. */
 constexpr double first_guess_of_target = 0.35;
+/** Work at usual speed is taken to be no more than this part of the target. If answers seem to say
+ * otherwise, and every request were refused for it, nothing would ever be learned anew; an upstream
+ * on its last slot takes 1.6 times as long and still has to be worth a try. */
+constexpr double most_of_target = 0.6;
 /** Routes that are remembered; operators add and remove routes all the time. */
 constexpr std::size_t most_routes = 4096;
 
@@ -19,8 +23,10 @@
 {
     const auto found = routes_.find(item.name);
     const bool known = found != routes_.end() && found->second.known;
-    const double guess = static_cast<double>(item.target_latency.count()) * first_guess_of_target;
-    return {known ? found->second.work_ms : std::max(guess, 1.0),
+    const auto target = static_cast<double>(item.target_latency.count());
+    const double work =
+        known ? found->second.work_ms : std::max(target * first_guess_of_target, 1.0);
+    return {target > 0 ? std::min(work, target * most_of_target) : work,
             known ? found->second.answer_bytes : 0, is_repeatable(item.kind)};
 }
 
--- a/src/tests/choice_estimate_test.cpp
+++ b/src/tests/choice_estimate_test.cpp
@@ -38,3 +38,20 @@
     }
     CHECK(estimates.of(item).work_ms == Approx(10));
 }
+
+TEST_CASE("one slow first answer: the route's requests are still taken, so that it is learned anew")
+{
+    choice_estimates estimates;
+    route where;
+    where.name = "book";
+    where.target_latency = milliseconds{300};
+    estimates.learn(where, 5000, 1, 100);
+    const auto target = static_cast<double>(where.target_latency.count());
+    // On the last slot at usual speed, the least that a calm service offers.
+    constexpr double last_slot = 1.6;
+    CHECK(estimates.of(where).work_ms * last_slot <= target);
+    for (int at = 0; at < 200; ++at) {
+        estimates.learn(where, 20, 1, 100);
+    }
+    CHECK(estimates.of(where).work_ms < 30);
+}
