Fix: Counts that nobody asks for, and routes that are gone, do not fill the memory

Each probe was entered in a count per upstream that is not read any more (the budget of probes is one bucket a VM), and a sliding count forgets old events only when it is asked. Requests counted for the retry budget had the same fate until the next repeat. The state of split routes was kept by name for ever, too.

Change: a sliding count forgets when an event is added; the count of probes is gone; 4,096 split routes are remembered, as for the other memories of routes.

Conclusion: what a VM remembers is bounded by time or number.

--- a/src/route_split.cpp
+++ b/src/route_split.cpp
@@ -6,6 +6,12 @@
 #include <ranges>
 
 namespace sniperock {
+namespace {
+
+/** Split routes that are remembered; operators add and remove routes all the time. */
+constexpr std::size_t most_routes = 4096;
+
+} // namespace
 
 const std::string& route_splitter::next(const route& item)
 {
@@ -25,6 +31,9 @@
 /** The state of a route; begins anew when its parts change. */
 route_splitter::state& route_splitter::state_of(const route& item)
 {
+    if (states_.size() >= most_routes && !states_.contains(item.name)) {
+        states_.clear();
+    }
     auto& now = states_[item.name];
     if (now.parts == item.parts) {
         return now;
--- a/src/route_split.hpp
+++ b/src/route_split.hpp
@@ -23,6 +23,8 @@
 
     /** The service that takes the next request of @p item. */
     const std::string& next(const route& item);
+    /** Split routes that are remembered. */
+    [[nodiscard]] std::size_t known_routes() const { return states_.size(); }
 
 private:
     struct state {
--- a/src/sliding_count.hpp
+++ b/src/sliding_count.hpp
@@ -13,13 +13,18 @@
 public:
     explicit sliding_count(nanoseconds window) : window_(window) {}
 
-    void add(local_time now) { times_.push_back(now); }
+    /** Counts an event; those that have left the window by then are forgotten. */
+    void add(local_time now)
+    {
+        forget(now);
+        times_.push_back(now);
+    }
+    /** Events whose times are held. */
+    [[nodiscard]] std::size_t held() const { return times_.size(); }
     /** Events in the window that ends at @p now. */
     [[nodiscard]] std::size_t count(local_time now)
     {
-        while (!times_.empty() && times_.front() + window_ <= now) {
-            times_.pop_front();
-        }
+        forget(now);
         return times_.size();
     }
     /** No event is in the window that ends at @p now. */
@@ -27,13 +32,15 @@
     {
         return times_.empty() || times_.back() + window_ <= now;
     }
-    /** When the oldest event leaves the window; @p now if there is none. */
-    [[nodiscard]] local_time next_leaves(local_time now) const
+
+private:
+    void forget(local_time now)
     {
-        return times_.empty() ? now : times_.front() + window_;
+        while (!times_.empty() && times_.front() + window_ <= now) {
+            times_.pop_front();
+        }
     }
 
-private:
     nanoseconds window_;
     std::deque<local_time> times_;
 };
--- a/src/tests/route_split_test.cpp
+++ b/src/tests/route_split_test.cpp
@@ -5,6 +5,7 @@
 
 #include <cmath>
 #include <map>
+#include <string>
 
 using namespace sniperock;
 
@@ -58,3 +59,15 @@
     }
     CHECK(std::abs(counts["new"] - 75) <= 1);
 }
+
+TEST_CASE("split routes that come and go do not fill the memory")
+{
+    random_engine random{7};
+    route_splitter splitter(random);
+    auto item = split_route(1, 1);
+    for (int at = 0; at < 20'000; ++at) {
+        item.name = "split-" + std::to_string(at);
+        splitter.next(item);
+    }
+    CHECK(splitter.known_routes() <= 4096);
+}
--- a/src/upstream_probe.cpp
+++ b/src/upstream_probe.cpp
@@ -34,7 +34,6 @@
 {
     ++round->pending;
     sent_.Increment();
-    target->probes.add(boot_clock::now());
     start_task(io_.get_executor(), run(round, target, health_path));
 }
 
--- a/src/upstream_type.hpp
+++ b/src/upstream_type.hpp
@@ -17,9 +17,6 @@
 
 class http_connection;
 
-/** The bound on probes holds over a long time; this VM's are counted in such a window. */
-inline constexpr seconds probe_window{5};
-
 /** Requests to a cold upstream are bounded for each second in which they arrive; the tenth more
  * covers what differs between sending and arriving. */
 inline constexpr milliseconds cold_window{1100};
@@ -95,8 +92,6 @@
     local_time cold_until;
     /** Requests of this VM in the last second while it was cold. */
     sliding_count cold_sends{cold_window};
-    /** Probes of this VM in the last seconds. */
-    sliding_count probes{probe_window};
     failure_record failures;
     /** Connections that wait for a request, the one used last at the back. */
     std::vector<std::shared_ptr<http_connection>> idle;
