Fix: An upstream that is taken out between choice and send does not count as silent

An attempt that is not sent because its upstream was evacuated, drained or replaced meanwhile ended as one that could not be connected to: the upstream was shunned for a quarter of a second and more after it was taken back, and SR300 told of a silence that was none.

Change: only a failed connection, or one that closed before a byte was sent, is noted as silence.

Conclusion: the log names silent upstreams only.

--- a/src/call_attempt.cpp
+++ b/src/call_attempt.cpp
@@ -79,6 +79,7 @@
         const time_limit limit(context_.io.get_executor(), connect_limit,
                                [this] { connection_->close(); });
         const bool connected = co_await connection_->connect(picked_.target->entry.endpoint);
+        unreachable_ = !connected && !cancelled_;
         if (!connected) {
             co_return cancelled_ ? attempt_end::cancelled : attempt_end::not_sent;
         }
@@ -91,6 +92,7 @@
     const auto end = co_await read_answer();
     sent_ = connection_->sent();
     if (end == attempt_end::broken && !sent_) {
+        unreachable_ = !cancelled_;
         co_return cancelled_ ? attempt_end::cancelled : attempt_end::not_sent;
     }
     co_return end == attempt_end::broken&& cancelled_ ? attempt_end::cancelled : end;
@@ -223,7 +225,10 @@
         target.failures.failed(now);
         break;
     case attempt_end::not_sent:
-        note_silent(target, now);
+        // It may also have been taken out of use just now, which says nothing of it.
+        if (unreachable_) {
+            note_silent(target, now);
+        }
         break;
     case attempt_end::misdirected:
         context_.registry.disown(target);
--- a/src/call_attempt.hpp
+++ b/src/call_attempt.hpp
@@ -71,6 +71,8 @@
     /** The head of an answer was taken over. */
     bool judged_ = false;
     bool cancelled_ = false;
+    /** It could not be connected to, or closed before a byte was sent. */
+    bool unreachable_ = false;
 };
 
 } // namespace sniperock
