Fix: Refused connections are logged, and sanitizer builds check each line against the catalogue

A connection over the limit was closed, and a failed accept was tried again, without a line. The catalogue named a field of attempt_failed (looked_at) that the line does not have; nothing compared them.

The catalogue's row is mended.

--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -2,6 +2,7 @@
 #include "caller_server.hpp"
 
 #include "error_type.hpp"
+#include "event_type.hpp"
 
 #include <algorithm>
 
@@ -48,6 +49,8 @@
                 accept_next();
                 return;
             }
+            log_event(event::accept_failed,
+                      {{"port", std::to_string(port_)}, {"reason", error.message()}});
             pause_.expires_after(accept_pause);
             pause_.async_wait([this](const asio::error_code& stopped) {
                 if (!stopped) {
@@ -60,6 +63,8 @@
 void caller_server::adopt(tcp_socket socket)
 {
     if (sessions_.size() >= max_connections_) {
+        log_event(event::connection_refused, {{"port", std::to_string(port_)},
+                                              {"connections", std::to_string(sessions_.size())}});
         return;
     }
     net_stream stream(std::move(socket));
--- a/src/event.cpp
+++ b/src/event.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <cassert>
 #include <cstdio>
 #include <memory>
 #include <mutex>
@@ -99,6 +100,16 @@
     return line + "\n";
 }
 
+/** True if the fields are those of the catalogue, in its order. */
+bool fields_as_listed(const event_descriptor& row, std::initializer_list<event_field> fields)
+{
+    std::string names;
+    for (const auto& field : fields) {
+        names += (names.empty() ? "" : " ") + std::string{field.name};
+    }
+    return names == row.fields;
+}
+
 /** The line that tells of lines that were not written. */
 std::string dropped_line(const std::string& vm, std::uint64_t lines)
 {
@@ -140,6 +151,8 @@
     if (row.level < least_level.load(std::memory_order_relaxed)) {
         return;
     }
+    // Sanitizer builds check each line that the tests cause against the catalogue.
+    assert(fields_as_listed(row, fields));
     auto& log = the_log();
     const std::lock_guard lock(log.guard);
     if (!log.writer) {
--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -19,6 +19,8 @@
     settings_reloaded = 104,
     process_stood_still = 105,
     log_lines_dropped = 110,
+    accept_failed = 120,
+    connection_refused = 121,
     // 2xx: calls.
     call_ended = 200,
     call_troubled = 201,
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -30,6 +30,13 @@
                      "are dropped."},
     event_descriptor{event::log_lines_dropped, event_level::warning, "process", "log_lines_dropped",
                      "lines", "Lines were dropped, by the buffer's limit or the rate limit."},
+    event_descriptor{event::accept_failed, event_level::warning, "calls", "accept_failed",
+                     "port reason",
+                     "A connection could not be accepted; tried again shortly. Descriptors may "
+                     "have run out."},
+    event_descriptor{event::connection_refused, event_level::warning, "calls", "connection_refused",
+                     "port connections",
+                     "A connection was closed at once: there are as many as the settings allow."},
     // 2xx: calls.
     event_descriptor{
         event::call_ended, event_level::info, "calls", "call_ended",
@@ -45,11 +52,10 @@
         "the rest as for attempt_failed."},
     event_descriptor{
         event::attempt_failed, event_level::info, "calls", "attempt_failed",
-        "id service end status ms upstream busy slots slowness cold report_age_ms "
-        "looked_at",
+        "id service end status ms upstream busy slots slowness cold report_age_ms",
         "An attempt did not bring the answer; from upstream on, the fields are what the "
         "choice was made on: requests there, slots, slowness in percent, age of the "
-        "report, upstreams looked at."},
+        "report."},
     event_descriptor{event::call_hedged, event_level::info, "calls", "call_hedged",
                      "id service first ms upstream busy slots slowness cold report_age_ms",
                      "The first upstream had not answered for ms; the request was sent to another "
