--- a/src/async.cpp
+++ b/src/async.cpp
@@ -53,6 +53,11 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+task<> sleep_until(local_time time)
+{
+    co_await sleep_for(std::max(nanoseconds{0}, time - boot_clock::now()));
+}
+
 void start_task(const asio::any_io_executor& executor, task<> work)
 {
     asio::co_spawn(executor, std::move(work), [](const std::exception_ptr& failure) {
--- a/src/async_func.hpp
+++ b/src/async_func.hpp
@@ -55,6 +55,8 @@
 
 /** Waits. */
 task<> sleep_for(nanoseconds time);
+/** Waits until a time; not at all if it has passed. */
+task<> sleep_until(local_time time);
 
 /** Starts @p work by itself; what it throws ends the process, so it has to handle its errors. */
 void start_task(const asio::any_io_executor& executor, task<> work);
--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -85,8 +85,7 @@
 
 void caller_server::close_idle()
 {
-    const auto all = sessions_;
-    std::ranges::for_each(all, [](const auto& session) { session->close_if_idle(); });
+    std::ranges::for_each(sessions_, [](const auto& session) { session->close_if_idle(); });
 }
 
 void caller_server::close_all()
@@ -97,8 +96,8 @@
 
 void caller_server::sweep(local_time now)
 {
-    const auto all = sessions_;
-    std::ranges::for_each(all, [now](const auto& session) { session->close_if_late(now); });
+    // Closing a session neither adds nor removes one.
+    std::ranges::for_each(sessions_, [now](const auto& session) { session->close_if_late(now); });
     std::erase_if(sessions_, [](const auto& session) { return session->closed(); });
 }
 
--- a/src/caller_session.cpp
+++ b/src/caller_session.cpp
@@ -341,12 +341,7 @@
     if (id && !answer.headers.find(id_header)) {
         append_header(out_, id_header, *id);
     }
-    if (framing == body_framing::chunked) {
-        append_header(out_, "Transfer-Encoding", "chunked");
-    }
-    else {
-        append_header(out_, "Content-Length", std::to_string(length));
-    }
+    append_framing(out_, framing, length);
     if (last_) {
         append_header(out_, "Connection", "close");
     }
--- a/src/choice_yield.cpp
+++ b/src/choice_yield.cpp
@@ -16,8 +16,8 @@
 /** Beyond it less urgent requests yield this many times as often as more urgent ones are refused.
  */
 constexpr double strength = 3;
-/** But never more often than this, however long more urgent ones are refused: no kind of request
- * may be served less than a quarter as often as all. */
+/** But never more often than this, however long the shortage lasts: the least urgent kind keeps 0.4
+ * of its attempts, well over the quarter below which a kind counts as starved. */
 constexpr double most_yielding = 0.6;
 /** Services that are remembered; operators add and remove services all the time. */
 constexpr std::size_t most_services = 1024;
--- a/src/clock.cpp
+++ b/src/clock.cpp
@@ -12,15 +12,9 @@
     return time_point{seconds{reading.tv_sec} + nanoseconds{reading.tv_nsec}};
 }
 
-wall_time system_clock_source::wall_now()
+wall_time wall_now()
 {
     return std::chrono::time_point_cast<microseconds>(std::chrono::system_clock::now());
 }
 
-void manual_clock::advance(nanoseconds step)
-{
-    now_ += step;
-    wall_ += std::chrono::duration_cast<microseconds>(step);
-}
-
 } // namespace sniperock
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -49,7 +49,7 @@
 std::uint64_t draw_life(random_engine& random)
 {
     constexpr unsigned random_bits = 10;
-    const auto wall = static_cast<std::uint64_t>(to_unix_us(system_clock_source::wall_now()));
+    const auto wall = static_cast<std::uint64_t>(to_unix_us(wall_now()));
     return (wall << random_bits) | (random() & ((1U << random_bits) - 1));
 }
 
--- a/src/event.cpp
+++ b/src/event.cpp
@@ -77,7 +77,7 @@
 /** Seconds since 1970 with milliseconds. */
 std::string time_text()
 {
-    const auto us = to_unix_us(system_clock_source::wall_now());
+    const auto us = to_unix_us(wall_now());
     std::array<char, 40> text{};
     const auto size = std::snprintf(text.data(), text.size(), "%lld.%03lld",
                                     static_cast<long long>(us / 1'000'000),
--- a/src/load_runner.cpp
+++ b/src/load_runner.cpp
@@ -36,7 +36,7 @@
     std::uint64_t number = 0;
     while (next < plan_.duration) {
         const auto due = began + std::chrono::duration_cast<nanoseconds>(next);
-        co_await sleep_for(std::max(due - boot_clock::now(), nanoseconds{0}));
+        co_await sleep_until(due);
         ++running_;
         start_task(io_.get_executor(), one_request(number++));
         next += std::chrono::duration<double>{gap_s(random_)};
--- a/src/store_follower.hpp
+++ b/src/store_follower.hpp
@@ -84,8 +84,7 @@
             next_listing_ = times_.listing;
             at_ = changes.at;
             sink_.changed(changes);
-            co_await sleep_for(
-                std::max<nanoseconds>(nanoseconds{0}, began + times_.gather - boot_clock::now()));
+            co_await sleep_until(began + times_.gather);
         }
     }
 
