Fix: The linter's build has no asserts

Cause: the check of log fields is used by an assert alone, so it is unused where NDEBUG is defined; the linter calls that an error.

Change: marked as maybe unused.

--- a/src/event.cpp
+++ b/src/event.cpp
@@ -101,7 +101,8 @@
 }
 
 /** True if the fields are those of the catalogue, in its order. */
-bool fields_as_listed(const event_descriptor& row, std::initializer_list<event_field> fields)
+[[maybe_unused]] bool fields_as_listed(const event_descriptor& row,
+                                       std::initializer_list<event_field> fields)
 {
     std::string names;
     for (const auto& field : fields) {
