Feature: Each watch and each failed store call is logged, store calls are timed by kind

A failure was logged only once failures had lasted a second, the end of a watch never, and the gauge of the store's silence covered upstreams only.

No decision changes.

Conclusion: a watch that ends late, fails, or goes without an answer is told apart by its line, its failure, or the gauge of its kind.

--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -323,7 +323,6 @@
         const auto table = routes.table();
         const auto alive = members.alive(now);
         const auto ready = std::ranges::count(alive, member_state::ready, &member_entry::state);
-        const std::chrono::duration<double> silence = now - sync.registry_seen();
         set("sniperock_config_version", "Version of the configuration in force",
             table ? static_cast<double>(table->config().version.value) : 0);
         const std::chrono::duration<double> config_age =
@@ -334,8 +333,11 @@
         measured.counter("sniperock_log_lines_dropped_total", "Log lines that were not written")
             .Increment(static_cast<double>(dropped - std::exchange(dropped_told, dropped)));
         set("sniperock_upstreams", "Registry entries known", static_cast<double>(registry.size()));
-        set("sniperock_store_silence_seconds", "Since the store last told of upstreams",
-            silence.count());
+        sync.for_each_answer([&](const std::string& kind, local_time answered) {
+            const std::chrono::duration<double> silence = now - answered;
+            set("sniperock_store_silence_seconds", "Since the store last answered about a kind",
+                silence.count(), {{"kind", kind}});
+        });
         set("sniperock_members", "VMs known", static_cast<double>(alive.size()),
             {{"state", "alive"}});
         set("sniperock_members", "VMs known", static_cast<double>(ready), {{"state", "ready"}});
--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -37,6 +37,8 @@
     store_history_gone = 502,
     store_entry_refused = 503,
     vm_not_registered = 504,
+    store_watch_ended = 505,
+    store_call_failed = 506,
     // 6xx: configuration and registry.
     config_applied = 600,
     config_refused = 601,
--- a/src/store_follower.hpp
+++ b/src/store_follower.hpp
@@ -67,6 +67,8 @@
 
     /** A listing was taken over at least once. */
     [[nodiscard]] bool synced() const { return synced_; }
+    /** What it follows. */
+    [[nodiscard]] const std::string& kind() const { return kind_; }
     /** When the store last answered. */
     [[nodiscard]] local_time last_answer() const { return last_answer_; }
 
@@ -78,13 +80,14 @@
             co_await list();
         }
         for (;;) {
-            const auto began = boot_clock::now();
+            call_began_ = boot_clock::now();
             const auto changes = co_await store_.watch(kind_, at_, times_.watch);
             note_answer();
+            note_changes(changes);
             next_listing_ = times_.listing;
             at_ = changes.at;
             sink_.changed(changes);
-            co_await sleep_until(began + times_.gather);
+            co_await sleep_until(call_began_ + times_.gather);
         }
     }
 
@@ -93,6 +96,7 @@
     {
         // Fresh the next time, unless the watch that follows finds the history it needs.
         const auto mode = std::exchange(next_listing_, read_mode::fresh);
+        call_began_ = boot_clock::now();
         auto listing = co_await store_.list(kind_, mode);
         if (mode == read_mode::stale && synced_ && listing.at <= at_) {
             listing = co_await store_.list(kind_, read_mode::fresh);
@@ -104,6 +108,12 @@
         sink_.listed(listing);
     }
 
+    /** Since the call under way began. */
+    [[nodiscard]] milliseconds call_age() const
+    {
+        return std::chrono::duration_cast<milliseconds>(boot_clock::now() - call_began_);
+    }
+
     void note_answer()
     {
         const auto now = boot_clock::now();
@@ -116,8 +126,23 @@
         last_answer_ = now;
     }
 
+    void note_changes(const store_changes& changes)
+    {
+        log_event(event::store_watch_ended, {{"kind", kind_},
+                                             {"after", std::to_string(at_.value)},
+                                             {"at", std::to_string(changes.at.value)},
+                                             {"events", std::to_string(changes.events.size())},
+                                             {"ms", std::to_string(call_age().count())}});
+    }
+
     void note_failure(const store_error& error)
     {
+        log_event(event::store_call_failed, {{"kind", kind_},
+                                             {"call", listed_ ? "watch" : "list"},
+                                             {"after", std::to_string(at_.value)},
+                                             {"failure", std::string{to_name(error.failure())}},
+                                             {"reason", error.what()},
+                                             {"ms", std::to_string(call_age().count())}});
         if (error.failure() == store_failure::history_gone) {
             listed_ = false;
             log_event(event::store_history_gone, {{"kind", kind_}});
@@ -162,6 +187,7 @@
     bool lost_ = false;
     unsigned failures_ = 0;
     local_time failing_since_;
+    local_time call_began_;
     local_time last_answer_;
 };
 
--- a/src/store_sync.hpp
+++ b/src/store_sync.hpp
@@ -89,8 +89,14 @@
     {
         return configurations_.synced() && upstreams_.synced() && evacuations_.synced();
     }
-    /** When the store last told of upstreams. */
-    [[nodiscard]] local_time registry_seen() const { return upstreams_.last_answer(); }
+    /** Calls @p visit(kind, time) with each kind and when the store last answered about it. */
+    template <typename Visit>
+    void for_each_answer(Visit visit) const
+    {
+        for (const auto* follower : {&configurations_, &upstreams_, &evacuations_}) {
+            visit(follower->kind(), follower->last_answer());
+        }
+    }
 
     /**
      * Enters this VM in the store, where a VM whose seeds are all gone looks for the fleet. Only
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -85,6 +85,15 @@
                      "An object of the store cannot be read; it is left out."},
     event_descriptor{event::vm_not_registered, event_level::warning, "store", "vm_not_registered",
                      "reason", "This VM could not enter itself in the store; it tries again."},
+    event_descriptor{
+        event::store_watch_ended, event_level::info, "store", "store_watch_ended",
+        "kind after at events ms",
+        "A watch that began at revision after was answered as of revision at; the next "
+        "one begins there."},
+    event_descriptor{event::store_call_failed, event_level::info, "store", "store_call_failed",
+                     "kind call after failure reason ms",
+                     "A listing, or a watch that began at revision after, was not answered or was "
+                     "refused; tried again after a pause."},
     // 6xx: configuration and registry.
     event_descriptor{event::config_applied, event_level::info, "config", "config_applied",
                      "version routes revision", "A newer configuration is in force on this VM."},
