Fix: Changes confirmed around a silent outage of the store are in force in time

What callers saw: requests were routed by an old configuration, and new routes answered 404, for as long as 29 s after the store had confirmed a newer one (CONFIG, DENIED). Evacuations and leaving upstreams were missed in the same way.

Cause: a watch that waits looks the same whether nothing changed or its answer was lost, and its whole time was waited out. In a silent outage the watches that fell due ended unanswered; the next ones were sent to a store that dropped them, and were given up only 30.5 s later. The class: silence taken for no news.

Ruled out: that watches that wait are lost with the outage (the registry's, 28.8 s old, was answered), and that an answer was misread.

Change: store_pulse asks for a small listing, which may be old and costs a tenth, once nothing was heard of the store for store.pulse (2 s); a store that does not answer it within 1 s loses all its connections, and followers wait for the next answer before they ask again. A watch waits long only behind an answer: after a failure a short one goes first. The connection that is being opened is dropped too. SR507, SR508.

Why it works: an outage longer than a pulse's period always meets a pulse, so no watch is left that was begun, or fell due, in it; after its end a VM asks anew within 1.7 s.

Conclusion: an outage is noticed by what it takes away, on every kind at once.

--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -39,6 +39,8 @@
     vm_not_registered = 504,
     store_watch_ended = 505,
     store_call_failed = 506,
+    store_unheard = 507,
+    store_heard = 508,
     // 6xx: configuration and registry.
     config_applied = 600,
     config_refused = 601,
--- a/src/store_follower.hpp
+++ b/src/store_follower.hpp
@@ -3,6 +3,7 @@
 
 #include "event_type.hpp"
 #include "random_type.hpp"
+#include "store_health.hpp"
 #include "store_type.hpp"
 
 #include <algorithm>
@@ -32,19 +33,23 @@
     read_mode listing = read_mode::fresh;
     /** Without an answer for so long, the store counts as lost. */
     milliseconds lost_after{1000};
+    /** Longest wait for a store that does not answer; it may answer about other kinds only. */
+    milliseconds patience{15'000};
 };
 
 /**
  * Lists a kind and then watches it; lists again when the history is gone. Waits longer after each
- * failure, with jitter, so that a fleet does not ask all at once when the store returns.
+ * failure, with jitter, so that a fleet does not ask all at once when the store returns. A watch
+ * waits long only behind an answer: one that was begun while the store was silent is not answered
+ * when it is back.
  */
 template <object_store Store>
 class store_follower {
 public:
     store_follower(Store& store, std::string kind, follower_times times, follower_sink sink,
-                   random_engine& random)
+                   store_health& health, random_engine& random)
         : store_(store), kind_(std::move(kind)), times_(times), sink_(std::move(sink)),
-          random_(random)
+          health_(health), random_(random)
     {
     }
 
@@ -60,8 +65,10 @@
                 failure = error.failure();
                 note_failure(error);
             }
-            co_await sleep_for(failure == store_failure::history_gone ? nanoseconds{0}
-                                                                      : next_pause());
+            if (failure != store_failure::history_gone) {
+                co_await sleep_for(next_pause());
+                co_await wait_for_store();
+            }
         }
     }
 
@@ -73,6 +80,9 @@
     [[nodiscard]] local_time last_answer() const { return last_answer_; }
 
 private:
+    /** What a watch waits for a change when its answer is to show that the store answers. */
+    static constexpr milliseconds shortest_watch{1};
+
     /** Goes on from where it was; ends with an exception. */
     task<> follow()
     {
@@ -81,7 +91,8 @@
         }
         for (;;) {
             call_began_ = boot_clock::now();
-            const auto changes = co_await store_.watch(kind_, at_, times_.watch);
+            const auto wait = failures_ == 0 ? times_.watch : shortest_watch;
+            const auto changes = co_await store_.watch(kind_, at_, wait);
             note_answer();
             note_changes(changes);
             next_listing_ = times_.listing;
@@ -91,6 +102,16 @@
         }
     }
 
+    /** Waits until the store answers pulses, but not for ever. */
+    task<> wait_for_store()
+    {
+        constexpr milliseconds poll{100};
+        const auto until = boot_clock::now() + times_.patience;
+        while (!health_.answering() && boot_clock::now() < until) {
+            co_await sleep_for(poll);
+        }
+    }
+
     /** Takes a listing over. What is known never gets older. */
     task<> list()
     {
@@ -124,6 +145,7 @@
         lost_ = false;
         failures_ = 0;
         last_answer_ = now;
+        health_.answered(now);
     }
 
     void note_changes(const store_changes& changes)
@@ -179,6 +201,7 @@
     std::string kind_;
     follower_times times_;
     follower_sink sink_;
+    store_health& health_;
     random_engine& random_;
     store_revision at_;
     read_mode next_listing_ = times_.listing;
--- a/src/store_sync.hpp
+++ b/src/store_sync.hpp
@@ -5,6 +5,7 @@
 #include "member_gossip.hpp"
 #include "route_table.hpp"
 #include "store_follower.hpp"
+#include "store_pulse.hpp"
 #include "store_schema.hpp"
 #include "upstream_registry.hpp"
 
@@ -64,16 +65,17 @@
           configurations_(store, schema.configurations, {settings.store_watch, gather_ / 2},
                           {[] {}, [&applier](const auto& all) { applier.list_configurations(all); },
                            [&applier](const auto& news) { applier.change_configurations(news); }},
-                          random),
+                          health_, random),
           upstreams_(store, schema.upstreams, {settings.store_watch, gather_, read_mode::stale},
                      {[&registry] { registry.store_returned(boot_clock::now()); },
                       [&applier](const auto& all) { applier.list_upstreams(all); },
                       [&applier](const auto& news) { applier.change_upstreams(news); }},
-                     random),
+                     health_, random),
           evacuations_(store, schema.evacuations, {settings.store_watch, gather_, read_mode::stale},
                        {[] {}, [&applier](const auto& all) { applier.list_evacuations(all); },
                         [&applier](const auto& news) { applier.change_evacuations(news); }},
-                       random)
+                       health_, random),
+          pulse_(io.get_executor(), store, schema.vms, {settings.store_pulse}, health_, random)
     {
     }
 
@@ -82,6 +84,7 @@
         start_task(io_.get_executor(), configurations_.run());
         start_task(io_.get_executor(), upstreams_.run());
         start_task(io_.get_executor(), evacuations_.run());
+        start_task(io_.get_executor(), pulse_.run());
     }
 
     /** Everything was read at least once. */
@@ -140,9 +143,11 @@
     const store_schema& schema_;
     const entry_settings& settings_;
     milliseconds gather_;
+    store_health health_{boot_clock::now()};
     store_follower<Store> configurations_;
     store_follower<Store> upstreams_;
     store_follower<Store> evacuations_;
+    store_pulse<Store> pulse_;
     bool registered_ = false;
 };
 
--- a/src/store_type.hpp
+++ b/src/store_type.hpp
@@ -101,6 +101,8 @@
     {
         store.create(kind, kind, spec)
     } -> std::same_as<task<>>;
+    // Calls under way fail.
+    store.drop_connections();
 };
 
 } // namespace sniperock
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -94,6 +94,11 @@
                      "kind call after failure reason ms",
                      "A listing, or a watch that began at revision after, was not answered or was "
                      "refused; tried again after a pause."},
+    event_descriptor{event::store_unheard, event_level::warning, "store", "store_unheard", "reason",
+                     "A small read was not answered or was refused: watches that wait are dropped, "
+                     "and begin again once the store answers."},
+    event_descriptor{event::store_heard, event_level::info, "store", "store_heard", "",
+                     "The store answers again."},
     // 6xx: configuration and registry.
     event_descriptor{event::config_applied, event_level::info, "config", "config_applied",
                      "version routes revision", "A newer configuration is in force on this VM."},
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -54,6 +54,10 @@
                        setting_flag::optional, "Longest wait for one store call, watches excepted"},
     setting_descriptor{"store", "watch", &entry_settings::store_watch, "ms", "29000", 100, 30'000,
                        setting_flag::optional, "How long one watch call waits for a change"},
+    setting_descriptor{"store", "pulse", &entry_settings::store_pulse, "ms", "2000", 100, 60'000,
+                       setting_flag::optional,
+                       "The store is asked for a sign of life when it was not heard of for so "
+                       "long; watches that wait begin again when it gives none"},
     setting_descriptor{
         "store", "drain_limit", &entry_settings::store_drain_limit, "ms", "2000", 0, 60'000,
         setting_flag::optional,
--- a/src/tests/store_follower_test.cpp
+++ b/src/tests/store_follower_test.cpp
@@ -33,16 +33,20 @@
         co_return store_listing{{}, now.at};
     }
 
-    task<store_changes> watch(const std::string&, store_revision after, milliseconds)
+    task<store_changes> watch(const std::string&, store_revision after, milliseconds wait)
     {
         watched_after.push_back(after.value);
+        waits.push_back(wait);
         const auto now = next(watches_);
         co_return store_changes{now.events, now.at};
     }
 
     task<> create(const std::string&, const std::string&, const nlohmann::json&) { co_return; }
 
+    void drop_connections() {}
+
     std::vector<read_mode> modes;
+    std::vector<milliseconds> waits;
     std::vector<std::uint64_t> watched_after;
 
 private:
@@ -74,7 +78,8 @@
     int changed = 0;
 };
 
-outcome follow(asio::io_context& io, scripted_store& store, follower_times times)
+outcome follow(asio::io_context& io, scripted_store& store, follower_times times,
+               store_health health = store_health(boot_clock::now()))
 {
     outcome seen;
     random_engine random{1};
@@ -82,7 +87,7 @@
                                             {[&] { ++seen.returned; },
                                              [&](const auto&) { ++seen.listed; },
                                              [&](const auto&) { ++seen.changed; }},
-                                            random);
+                                            health, random);
     start_task(io.get_executor(), follower.run());
     io.run();
     return seen;
@@ -169,3 +174,36 @@
     CHECK(seen.listed == 1);
     CHECK(seen.returned == 0);
 }
+
+// Guards against a long watch that was begun while the store was silent: nothing ever answers it.
+TEST_CASE("after a failure a watch waits long only once the store has answered a short one")
+{
+    asio::io_context io;
+    scripted_store store(io, {{{}, {5}, {}}},
+                         {{store_failure::unavailable, {}, {}},
+                          {store_failure::unavailable, {}, {}},
+                          {{}, {6}, {}},
+                          {{}, {7}, {}}});
+    auto times = quick;
+    times.lost_after = seconds{10};
+    follow(io, store, times);
+    REQUIRE(store.waits.size() == 5);
+    CHECK(store.waits[0] == times.watch);
+    CHECK(store.waits[1] < times.watch);
+    CHECK(store.waits[2] < times.watch);
+    CHECK(store.waits[3] == times.watch);
+}
+
+TEST_CASE("while the store answers no pulses a failed kind is asked about after the patience only")
+{
+    asio::io_context io;
+    scripted_store store(io, {{store_failure::unavailable, {}, {}}, {{}, {5}, {}}}, {});
+    auto times = quick;
+    times.patience = milliseconds{400};
+    store_health health(boot_clock::now());
+    health.failed(boot_clock::now(), "scripted");
+    const auto began = boot_clock::now();
+    const auto seen = follow(io, store, times, health);
+    CHECK(seen.listed == 1);
+    CHECK(boot_clock::now() - began >= times.patience);
+}
