Fix: Entries that lapsed in an outage unseen by the registry's watch are kept until they can be back

Whether entries lapsed or left was decided by what the registry's own calls had met; a watch that outlived the outage had met nothing, so 27 removals at once counted as departures (only the rule for many sudden removals kept some for a second).

Change: an outage counts, for each kind, from the first pulse that failed, and is looked at once the store answers again; the kind is then listed anew and lapsed entries have their grace. SR500 says how long it lasted.

Why it works: the pulse is the same for all kinds, so none can miss an outage.

--- a/src/store_follower.hpp
+++ b/src/store_follower.hpp
@@ -68,6 +68,7 @@
             if (failure != store_failure::history_gone) {
                 co_await sleep_for(next_pause());
                 co_await wait_for_store();
+                check_outage();
             }
         }
     }
@@ -171,20 +172,28 @@
             return;
         }
         if (failures_++ == 0) {
-            failing_since_ = boot_clock::now();
+            const auto now = boot_clock::now();
+            failing_since_ = std::min(now, health_.failing_since().value_or(now));
         }
-        const bool lost = boot_clock::now() - failing_since_ >= times_.lost_after;
-        if (lost && !lost_) {
-            lost_ = true;
-            log_event(event::store_lost, {{"kind", kind_},
-                                          {"failure", std::string{to_name(error.failure())}},
-                                          {"reason", error.what()}});
+    }
+
+    /**
+     * After an outage the kind is read anew: events cannot tell lapsed entries from those that
+     * left. Called once the store answers again, or nothing is known of it.
+     */
+    void check_outage()
+    {
+        const auto lasted = boot_clock::now() - failing_since_;
+        if (failures_ == 0 || lasted < times_.lost_after) {
+            return;
         }
-        if (lost) {
-            // What happened meanwhile is read anew: lapsed entries cannot be told from events.
-            listed_ = false;
-            next_listing_ = read_mode::fresh;
+        if (!lost_) {
+            const auto ms = std::chrono::duration_cast<milliseconds>(lasted);
+            log_event(event::store_lost, {{"kind", kind_}, {"ms", std::to_string(ms.count())}});
         }
+        lost_ = true;
+        listed_ = false;
+        next_listing_ = read_mode::fresh;
     }
 
     /** The pause before the next try: doubles from a tenth of a second up to the longest. */
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -74,8 +74,9 @@
     event_descriptor{event::upstream_back, event_level::info, "upstreams", "upstream_back",
                      "upstream service", "An upstream that was silent answers again."},
     // 5xx: store.
-    event_descriptor{event::store_lost, event_level::warning, "store", "store_lost",
-                     "kind failure reason", "The store does not answer about this kind."},
+    event_descriptor{event::store_lost, event_level::warning, "store", "store_lost", "kind ms",
+                     "The store has not answered about this kind for so long that the kind is "
+                     "listed anew."},
     event_descriptor{event::store_back, event_level::info, "store", "store_back", "kind",
                      "The store answers about this kind again."},
     event_descriptor{event::store_history_gone, event_level::info, "store", "store_history_gone",
--- a/src/tests/store_follower_test.cpp
+++ b/src/tests/store_follower_test.cpp
@@ -45,6 +45,8 @@
 
     void drop_connections() {}
 
+    std::function<void()> before_failure;
+
     std::vector<read_mode> modes;
     std::vector<milliseconds> waits;
     std::vector<std::uint64_t> watched_after;
@@ -60,6 +62,9 @@
         auto now = steps.front();
         steps.pop_front();
         if (now.failure) {
+            if (before_failure) {
+                before_failure();
+            }
             throw store_error(*now.failure, "scripted");
         }
         return now;
@@ -79,7 +84,7 @@
 };
 
 outcome follow(asio::io_context& io, scripted_store& store, follower_times times,
-               store_health health = store_health(boot_clock::now()))
+               store_health& health)
 {
     outcome seen;
     random_engine random{1};
@@ -93,6 +98,12 @@
     return seen;
 }
 
+outcome follow(asio::io_context& io, scripted_store& store, follower_times times)
+{
+    store_health health(boot_clock::now());
+    return follow(io, store, times, health);
+}
+
 constexpr follower_times quick{milliseconds{10}, milliseconds{0}, read_mode::stale,
                                milliseconds{0}};
 
@@ -207,3 +218,21 @@
     CHECK(seen.listed == 1);
     CHECK(boot_clock::now() - began >= times.patience);
 }
+
+// Guards against an outage that ended before a kind's own calls had failed for long: what lapsed in
+// it would be dropped as if it had left.
+TEST_CASE("an outage that a pulse has seen counts for each kind from the pulse on")
+{
+    asio::io_context io;
+    scripted_store store(io, {{{}, {5}, {}}, {{}, {30}, {}}},
+                         {{store_failure::unavailable, {}, {}}, {{}, {31}, {}}});
+    auto times = quick;
+    times.lost_after = seconds{1};
+    times.patience = milliseconds{0};
+    store_health health(boot_clock::now());
+    store.before_failure = [&] { health.failed(boot_clock::now() - times.lost_after, "scripted"); };
+    const auto seen = follow(io, store, times, health);
+    CHECK(seen.listed == 2);
+    CHECK(seen.returned == 1);
+    CHECK(store.modes.back() == read_mode::fresh);
+}
