Fix: An answer that is not passed on is read up to a bound

A request whose upstream refused it, or sent interim answers or another request's answer, without end had no end before its deadline, and a refusal's body was kept in memory as fast as the link gave it: above the memory's limit the VM's process ends and every caller on it loses its request.

Cause: only heads were bounded, and kept bodies of successes; the rest was read until the time was up.

Change: at most 4 MiB come before an answer's body (head, interim answers, late answers to others); a body that is not passed on is read up to 64 KiB, to keep the connection, and thrown away; a spoiled answer's body is not read at all, as its connection is closed in any case.

Why it works: each loop that reads from an upstream counts the bytes that came, not those it keeps, so no framing hides them.

--- a/src/call_attempt.cpp
+++ b/src/call_attempt.cpp
@@ -13,6 +13,8 @@
 /** Answers up to this length are kept until they are whole, so that a broken one can be replaced.
  */
 constexpr std::size_t keep_whole_bytes = 1U << 20U;
+/** An answer whose body is not passed on is read up to this length, to keep the connection. */
+constexpr std::size_t max_unused_answer = 65'536;
 /** Longest wait for a connection; some hundred times a usual handshake. */
 constexpr milliseconds connect_limit{300};
 /** A connection that answered within this time is taken to work still. */
@@ -128,17 +130,31 @@
         co_return attempt_end::broken;
     }
     const auto verdict = judge_head();
+    if (verdict == attempt_end::broken) {
+        co_return verdict;
+    }
+    if (verdict != attempt_end::answered) {
+        co_await skip_unused_body(progress);
+        co_return verdict;
+    }
     while (progress == read_progress::more) {
         progress = co_await connection_->read_body(answer_.body);
-        if (verdict == attempt_end::answered && answer_.body.size() > keep_whole_bytes) {
+        if (answer_.body.size() > keep_whole_bytes) {
             const auto end = co_await stream_answer();
             co_return end;
         }
     }
-    if (progress == read_progress::broken && verdict == attempt_end::answered) {
-        co_return attempt_end::broken;
+    co_return progress == read_progress::broken ? attempt_end::broken : verdict;
+}
+
+/** Reads past a short body, so that the connection can be kept; a longer one is not waited for. */
+task<> call_attempt::skip_unused_body(read_progress progress)
+{
+    std::string ignored;
+    while (progress == read_progress::more && connection_->received() <= max_unused_answer) {
+        ignored.clear();
+        progress = co_await connection_->read_body(ignored);
     }
-    co_return verdict;
 }
 
 /** What the head says; takes over what is passed on. */
--- a/src/call_attempt.hpp
+++ b/src/call_attempt.hpp
@@ -53,6 +53,7 @@
     void take_kept_connection();
     task<attempt_end> exchange_messages();
     task<attempt_end> read_answer();
+    task<> skip_unused_body(read_progress progress);
     task<attempt_end> stream_answer();
     attempt_end judge_head();
     std::string request_bytes() const;
--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -11,6 +11,9 @@
 
 /** Longest head of an answer; heads of usual servers stay below 16 KiB. */
 constexpr std::size_t max_answer_head = 65'536;
+/** Most bytes before the body of an answer: its head, interim answers, and late answers to earlier
+ * requests. A server that sends more may never come to the answer. */
+constexpr std::size_t max_before_body = 4U << 20U;
 
 } // namespace
 
@@ -43,7 +46,7 @@
 {
     head_request_ = head_request;
     begin_message();
-    heard_ = false;
+    received_ = 0;
     asio::error_code error;
     sent_ = stream_.write({&bytes, 1}, error) > 0 || error.value() != 0;
     flush();
@@ -82,7 +85,7 @@
         const auto buffer = read_buffer_of<http_connection>();
         const auto size = stream_.read(buffer, error);
         if (size > 0) {
-            heard_ = true;
+            received_ += size;
             pending_.append(buffer.data(), size);
             co_return true;
         }
@@ -94,7 +97,7 @@
 task<read_progress> http_connection::read_head(std::string_view attempt_header,
                                                std::string_view attempt_id)
 {
-    for (;;) {
+    while (received_ <= max_before_body) {
         bool received = !pending_.empty();
         if (!received) {
             received = co_await receive();
@@ -123,6 +126,7 @@
         }
         begin_message();
     }
+    co_return read_progress::broken;
 }
 
 /** Reads past an interim answer, or one that belongs to an earlier request. */
@@ -132,7 +136,7 @@
     auto progress = parser_.message_complete() || head().status < http_status::first_final
                         ? read_progress::complete
                         : read_progress::more;
-    while (progress == read_progress::more) {
+    while (progress == read_progress::more && received_ <= max_before_body) {
         ignored.clear();
         progress = co_await read_body(ignored);
     }
--- a/src/http_connection.hpp
+++ b/src/http_connection.hpp
@@ -37,6 +37,7 @@
      * Reads up to the end of the head of the answer to this request.
      * @param attempt_header header that echoes the request's id.
      * @param attempt_id the id sent; an answer with another id is skipped. Empty accepts any.
+     * Broken if what comes before the answer's body is longer than skipped answers can be.
      */
     task<read_progress> read_head(std::string_view attempt_header, std::string_view attempt_id);
     /** Reads the next piece of the body and appends it to @p body. */
@@ -48,7 +49,9 @@
     /** A byte of the last request may have reached the server. */
     [[nodiscard]] bool sent() const { return sent_; }
     /** A byte of an answer came. */
-    [[nodiscard]] bool heard() const { return heard_; }
+    [[nodiscard]] bool heard() const { return received_ > 0; }
+    /** Bytes that came since the request was sent, those that frame the answer counted. */
+    [[nodiscard]] std::size_t received() const { return received_; }
     /** It carried an answer before. */
     [[nodiscard]] bool reused() const { return messages_ > 0; }
     /** Nothing speaks against another request on it. */
@@ -77,7 +80,7 @@
     std::string pending_;
     bool head_request_ = false;
     bool sent_ = false;
-    bool heard_ = false;
+    std::size_t received_ = 0;
     bool whole_ = false;
     bool flushing_ = false;
     bool peer_closed_ = false;
