Fix: A streamed answer ends at the deadline of its request

What callers saw: nothing yet. A success whose body does not end was streamed for as long as the caller stayed, and kept the upstream's slot; past the deadline the stream did not even wait for the caller to read, so its bytes gathered in memory.

Cause: a call ends when its stream begins, and nothing watched the time after it.

Change: the upstream's connection is closed at the deadline, which breaks the stream off: in chunks or with a length it does not look complete.

Why it works: the deadline is the caller's and the operator's word on how long to wait, and an upstream that keeps to it has stopped by then.

--- a/src/call_attempt.cpp
+++ b/src/call_attempt.cpp
@@ -197,6 +197,9 @@
     const auto& head = connection_->head();
     exchange->begin(answer_, head.framing, head.body_length);
     exchange->append(std::exchange(answer_.body, {}));
+    // A body without end goes on after the caller's time; the caller has it for no longer.
+    const time_limit guard(context_.io.get_executor(), order_.deadline - boot_clock::now(),
+                           [this] { connection_->close(); });
     auto progress = read_progress::more;
     while (progress == read_progress::more && !exchange->abandoned()) {
         std::string piece;
