Fix: A health answer is read up to a bound

What callers saw: nothing yet. A health answer without end was read for the 250 ms of a probe's limit at all the speed of link and processor, at up to 60 probes a second.

Cause: a probe was bounded in time alone.

Answers of the store are bounded in time only; that is left open.

--- a/src/upstream_probe.cpp
+++ b/src/upstream_probe.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds least_kept_limit{10};
 /** The usual time is an average over about so many probes. */
 constexpr int time_averaged_over = 32;
+/** Longest health answer; usual ones have a short body or none. */
+constexpr std::size_t max_health_answer = 65'536;
 
 } // namespace
 
@@ -90,7 +92,7 @@
     connection->send(request, false);
     auto progress = co_await connection->read_head(dialect_.attempt_id, "-");
     std::string body;
-    while (progress == read_progress::more) {
+    while (progress == read_progress::more && connection->received() <= max_health_answer) {
         body.clear();
         progress = co_await connection->read_body(body);
     }
