Fix: A change that other VMs have seen is not missed by a watch that is never answered

What callers saw: in the soak, requests routed by an old configuration on one VM for up to 18 s while the store answered all else (no outage, so no pulse failed).

Cause: the same class, silence taken for no news, for one connection alone: its watch was forgotten, or its answer lost, or the outage was shorter than a pulse's period.

Change: heartbeats carry the newest revision of each kind that the sender has seen (a third field, which earlier releases pass over, and which may be missing). A watch that still waits half a second after another VM was heard to have seen a newer change counts as lost: connections are dropped and each kind is asked anew, once in 5 s at most.

Why it works: a change reaches a watch at once or not at all; what one VM of the fleet has seen the others hear of within a heartbeat or two.

The two new tests fail without the drop.

Conclusion: no extra call to the store, 30 bytes more a heartbeat.

--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -65,10 +65,10 @@
           calls(io, settings, adapter.dialect, routes, registry, pool, prober, *policy,
                 call_measures, random),
           members(describe_self(settings, draw_life(random)), settings.member_silence),
-          gossip(io, members, settings.member_heartbeat, random),
+          gossip(io, members, news, settings.member_heartbeat, random),
           store(io, endpoint_of(settings.store_address), settings.store_timeout, measured),
           applier(adapter.schema, routes, registry, [this] { store_changed(); }),
-          sync(io, store, adapter.schema, settings, applier, registry, random),
+          sync(io, store, adapter.schema, settings, applier, registry, news, random),
           callers(io, callers_shared(), static_cast<std::size_t>(settings.max_connections)),
           ready_page(io, page_shared([this](const auto& item) { answer_ready(item); }),
                      max_page_connections),
@@ -188,6 +188,7 @@
             server->sweep(now);
         }
         registry.expire(now);
+        sync.check_news(now);
         if (now >= next_second) {
             next_second = now + seconds{1};
             each_second(now);
@@ -367,6 +368,7 @@
     std::unique_ptr<choice_policy> policy;
     call_context calls;
     member_table members;
+    store_news news;
     member_gossip gossip;
     platform::store_client store;
     store_applier applier;
--- a/src/member_gossip.cpp
+++ b/src/member_gossip.cpp
@@ -25,7 +25,11 @@
 
 using wire_entry = std::tuple<std::string, std::uint16_t, std::string, std::string, std::uint64_t,
                               std::uint64_t, std::uint8_t>;
+/** VMs of an earlier release send the first two fields, and read just these. */
 using wire_heartbeat = std::tuple<unsigned, std::vector<wire_entry>>;
+using wire_revisions = std::array<std::uint64_t, std::tuple_size_v<kind_revisions>>;
+/** Place of the sender's revisions in the message. */
+constexpr std::size_t revisions_at = 2;
 
 /** What a heartbeat may hold; lengths in spoiled bytes must not make the library allocate. */
 const msgpack::unpack_limit limits{/* array */ 1024, /* map */ 0, /* string */ 1024,
@@ -33,10 +37,10 @@
 
 } // namespace
 
-std::string encode_heartbeat(const std::vector<member_entry>& entries)
+std::string encode_heartbeat(const heartbeat& beat)
 {
-    wire_heartbeat message{format_version, {}};
-    std::ranges::transform(entries, std::back_inserter(std::get<1>(message)),
+    std::vector<wire_entry> entries;
+    std::ranges::transform(beat.entries, std::back_inserter(entries),
                            [](const member_entry& entry) {
                                return wire_entry{entry.address,
                                                  entry.callers_port,
@@ -46,28 +50,36 @@
                                                  entry.beat,
                                                  static_cast<std::uint8_t>(entry.state)};
                            });
+    wire_revisions revisions{};
+    std::ranges::transform(beat.seen, revisions.begin(), &store_revision::value);
     msgpack::sbuffer buffer;
-    msgpack::pack(buffer, message);
+    msgpack::pack(buffer, std::tuple{format_version, entries, revisions});
     return {buffer.data(), buffer.size()};
 }
 
-std::optional<std::vector<member_entry>> decode_heartbeat(std::string_view bytes)
+std::optional<heartbeat> decode_heartbeat(std::string_view bytes)
 {
     try {
         const auto handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limits);
-        const auto [version, wire] = handle.get().as<wire_heartbeat>();
+        const auto& message = handle.get();
+        const auto [version, wire] = message.as<wire_heartbeat>();
         if (version != format_version) {
             return std::nullopt;
         }
-        std::vector<member_entry> entries;
-        for (const auto& [address, port, name, domain, life, beat, state] : wire) {
+        heartbeat beat;
+        for (const auto& [address, port, name, domain, life, number, state] : wire) {
             if (state > static_cast<std::uint8_t>(member_state::leaving)) {
                 return std::nullopt;
             }
-            entries.push_back(
-                {address, port, name, domain, {life}, beat, static_cast<member_state>(state)});
+            beat.entries.push_back(
+                {address, port, name, domain, {life}, number, static_cast<member_state>(state)});
         }
-        return entries;
+        if (message.via.array.size > revisions_at) {
+            const auto revisions = message.via.array.ptr[revisions_at].as<wire_revisions>();
+            std::ranges::transform(revisions, beat.seen.begin(),
+                                   [](std::uint64_t value) { return store_revision{value}; });
+        }
+        return beat;
     }
     catch (const std::exception&) {
         // msgpack tells malformed bytes by several types; the caller logs the drop.
@@ -75,9 +87,9 @@
     }
 }
 
-member_gossip::member_gossip(asio::io_context& io, member_table& table, milliseconds period,
-                             random_engine& random)
-    : table_(table), period_(period), random_(random), socket_(io)
+member_gossip::member_gossip(asio::io_context& io, member_table& table, store_news& news,
+                             milliseconds period, random_engine& random)
+    : table_(table), news_(news), period_(period), random_(random), socket_(io)
 {
 }
 
@@ -98,7 +110,7 @@
 void member_gossip::greet(const std::string& address)
 {
     if (address != table_.self().address) {
-        encoded_ = encode_heartbeat(table_.digest(digest_size, boot_clock::now()));
+        encoded_ = encode_heartbeat({table_.digest(digest_size, boot_clock::now()), news_.seen()});
         send_to(address);
     }
 }
@@ -107,7 +119,7 @@
 {
     const auto now = boot_clock::now();
     table_.beat();
-    encoded_ = encode_heartbeat(table_.digest(0, now));
+    encoded_ = encode_heartbeat({table_.digest(0, now), news_.seen()});
     for (const auto& member : table_.alive(now)) {
         if (member.address != table_.self().address) {
             send_to(member.address);
@@ -133,7 +145,7 @@
     for (;;) {
         const auto now = boot_clock::now();
         table_.beat();
-        encoded_ = encode_heartbeat(table_.digest(digest_size, now));
+        encoded_ = encode_heartbeat({table_.digest(digest_size, now), news_.seen()});
         for (const auto& address : table_.pick_targets(fan_out, random_, now)) {
             send_to(address);
         }
@@ -166,14 +178,16 @@
         if (error) {
             continue;
         }
-        const auto entries = decode_heartbeat({buffer.data(), size});
-        if (!entries || entries->empty()) {
+        const auto beat = decode_heartbeat({buffer.data(), size});
+        if (!beat || beat->entries.empty()) {
             log_event(event::heartbeat_dropped,
                       {{"peer", from.address().to_string()}, {"reason", "malformed"}});
             continue;
         }
-        const bool news = table_.merge(*entries, boot_clock::now());
-        if (news) {
+        const auto now = boot_clock::now();
+        news_.heard(beat->seen, now);
+        const bool newcomer = table_.merge(beat->entries, now);
+        if (newcomer) {
             // A newcomer learns the fleet at once.
             greet(from.address().to_string());
         }
--- a/src/member_gossip.hpp
+++ b/src/member_gossip.hpp
@@ -3,6 +3,7 @@
 
 #include "async_func.hpp"
 #include "member_table.hpp"
+#include "store_news.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
@@ -15,10 +16,17 @@
 
 namespace sniperock {
 
+/** What one VM tells another. */
+struct heartbeat {
+    std::vector<member_entry> entries;
+    /** The newest changes of the store that the sender has seen; zeros if it does not tell. */
+    kind_revisions seen{};
+};
+
 /** A heartbeat as bytes. */
-std::string encode_heartbeat(const std::vector<member_entry>& entries);
-/** The entries of a heartbeat; empty optional if the bytes are not a heartbeat. */
-std::optional<std::vector<member_entry>> decode_heartbeat(std::string_view bytes);
+std::string encode_heartbeat(const heartbeat& beat);
+/** A heartbeat from bytes; empty optional if the bytes are not a heartbeat. */
+std::optional<heartbeat> decode_heartbeat(std::string_view bytes);
 
 /**
  * Each period a VM sends what it knows to a few others at random, and to the seeds while it knows
@@ -28,7 +36,7 @@
 class member_gossip {
 public:
     /** @param seeds addresses to greet; they may be wrong or down. */
-    member_gossip(asio::io_context& io, member_table& table, milliseconds period,
+    member_gossip(asio::io_context& io, member_table& table, store_news& news, milliseconds period,
                   random_engine& random);
 
     /** Opens the port. @throws listen_failed */
@@ -48,6 +56,7 @@
     void send_to(const std::string& address);
 
     member_table& table_;
+    store_news& news_;
     milliseconds period_;
     random_engine& random_;
     asio::ip::udp::socket socket_;
--- a/src/store_follower.hpp
+++ b/src/store_follower.hpp
@@ -4,6 +4,7 @@
 #include "event_type.hpp"
 #include "random_type.hpp"
 #include "store_health.hpp"
+#include "store_news.hpp"
 #include "store_type.hpp"
 
 #include <algorithm>
@@ -46,10 +47,12 @@
 template <object_store Store>
 class store_follower {
 public:
-    store_follower(Store& store, std::string kind, follower_times times, follower_sink sink,
-                   store_health& health, random_engine& random)
-        : store_(store), kind_(std::move(kind)), times_(times), sink_(std::move(sink)),
-          health_(health), random_(random)
+    /** @param followed the kind's number in @p news; @p kind is its name in the store. */
+    store_follower(Store& store, followed_kind followed, std::string kind, follower_times times,
+                   follower_sink sink, store_health& health, store_news& news,
+                   random_engine& random)
+        : store_(store), followed_(followed), kind_(std::move(kind)), times_(times),
+          sink_(std::move(sink)), health_(health), news_(news), random_(random)
     {
     }
 
@@ -63,6 +66,7 @@
             }
             catch (const store_error& error) {
                 failure = error.failure();
+                watching_ = false;
                 note_failure(error);
             }
             if (failure != store_failure::history_gone) {
@@ -79,6 +83,22 @@
     [[nodiscard]] const std::string& kind() const { return kind_; }
     /** When the store last answered. */
     [[nodiscard]] local_time last_answer() const { return last_answer_; }
+    /** A watch still waits for a change that another VM has seen: its answer will not come. */
+    [[nodiscard]] bool missed_change(local_time now) const
+    {
+        // Answers of one change reach the VMs one after another, and some links are slow.
+        constexpr milliseconds head_start{500};
+        const auto since = std::max(call_began_, news_.heard_at(followed_));
+        return watching_ && news_.heard(followed_) > at_ && now - since >= head_start;
+    }
+    /** Logs a missed change. */
+    void note_missed() const
+    {
+        log_event(event::store_change_missed,
+                  {{"kind", kind_},
+                   {"after", std::to_string(at_.value)},
+                   {"heard", std::to_string(news_.heard(followed_).value)}});
+    }
 
 private:
     /** What a watch waits for a change when its answer is to show that the store answers. */
@@ -92,12 +112,17 @@
         }
         for (;;) {
             call_began_ = boot_clock::now();
-            const auto wait = failures_ == 0 ? times_.watch : shortest_watch;
+            watching_ = failures_ == 0;
+            const auto wait = watching_ ? times_.watch : shortest_watch;
             const auto changes = co_await store_.watch(kind_, at_, wait);
+            watching_ = false;
             note_answer();
             note_changes(changes);
             next_listing_ = times_.listing;
             at_ = changes.at;
+            for (const auto& change : changes.events) {
+                news_.saw(followed_, change.object.revision);
+            }
             sink_.changed(changes);
             co_await sleep_until(call_began_ + times_.gather);
         }
@@ -127,6 +152,9 @@
         at_ = listing.at;
         listed_ = true;
         synced_ = true;
+        for (const auto& object : listing.objects) {
+            news_.saw(followed_, object.revision);
+        }
         sink_.listed(listing);
     }
 
@@ -207,16 +235,20 @@
     }
 
     Store& store_;
+    followed_kind followed_;
     std::string kind_;
     follower_times times_;
     follower_sink sink_;
     store_health& health_;
+    store_news& news_;
     random_engine& random_;
     store_revision at_;
     read_mode next_listing_ = times_.listing;
     bool listed_ = false;
     bool synced_ = false;
     bool lost_ = false;
+    /** A watch waits for a change. */
+    bool watching_ = false;
     unsigned failures_ = 0;
     local_time failing_since_;
     local_time call_began_;
--- a/src/store_sync.hpp
+++ b/src/store_sync.hpp
@@ -11,6 +11,8 @@
 
 #include <asio/io_context.hpp>
 
+#include <algorithm>
+#include <array>
 #include <functional>
 #include <optional>
 #include <set>
@@ -58,23 +60,26 @@
 public:
     store_sync(asio::io_context& io, Store& store, const store_schema& schema,
                const entry_settings& settings, store_applier& applier, upstream_registry& registry,
-               random_engine& random)
+               store_news& news, random_engine& random)
         : io_(io), store_(store), schema_(schema), settings_(settings),
           gather_(
               std::chrono::duration_cast<milliseconds>(settings.store_drain_limit * gather_part)),
-          configurations_(store, schema.configurations, {settings.store_watch, gather_ / 2},
+          configurations_(store, followed_kind::configurations, schema.configurations,
+                          {settings.store_watch, gather_ / 2},
                           {[] {}, [&applier](const auto& all) { applier.list_configurations(all); },
                            [&applier](const auto& news) { applier.change_configurations(news); }},
-                          health_, random),
-          upstreams_(store, schema.upstreams, {settings.store_watch, gather_, read_mode::stale},
+                          health_, news, random),
+          upstreams_(store, followed_kind::upstreams, schema.upstreams,
+                     {settings.store_watch, gather_, read_mode::stale},
                      {[&registry] { registry.store_returned(boot_clock::now()); },
                       [&applier](const auto& all) { applier.list_upstreams(all); },
                       [&applier](const auto& news) { applier.change_upstreams(news); }},
-                     health_, random),
-          evacuations_(store, schema.evacuations, {settings.store_watch, gather_, read_mode::stale},
+                     health_, news, random),
+          evacuations_(store, followed_kind::evacuations, schema.evacuations,
+                       {settings.store_watch, gather_, read_mode::stale},
                        {[] {}, [&applier](const auto& all) { applier.list_evacuations(all); },
                         [&applier](const auto& news) { applier.change_evacuations(news); }},
-                       health_, random),
+                       health_, news, random),
           pulse_(io.get_executor(), store, schema.vms, {settings.store_pulse}, health_, random)
     {
     }
@@ -92,6 +97,21 @@
     {
         return configurations_.synced() && upstreams_.synced() && evacuations_.synced();
     }
+    /** Lets watches begin again if one of them missed a change that another VM has seen. */
+    void check_news(local_time now)
+    {
+        const std::array followers{&configurations_, &upstreams_, &evacuations_};
+        const auto missed = std::ranges::find_if(
+            followers, [now](const auto* follower) { return follower->missed_change(now); });
+        if (missed == followers.end() || now < next_check_) {
+            return;
+        }
+        // A VM that tells of what no store has seen must not cost calls without end.
+        constexpr seconds check_pause{5};
+        next_check_ = now + check_pause;
+        (*missed)->note_missed();
+        store_.drop_connections();
+    }
     /** Calls @p visit(kind, time) with each kind and when the store last answered about it. */
     template <typename Visit>
     void for_each_answer(Visit visit) const
@@ -148,6 +168,7 @@
     store_follower<Store> upstreams_;
     store_follower<Store> evacuations_;
     store_pulse<Store> pulse_;
+    local_time next_check_;
     bool registered_ = false;
 };
 
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -100,6 +100,11 @@
                      "and begin again once the store answers."},
     event_descriptor{event::store_heard, event_level::info, "store", "store_heard", "",
                      "The store answers again."},
+    event_descriptor{
+        event::store_change_missed, event_level::warning, "store", "store_change_missed",
+        "kind after heard",
+        "Another VM has seen a change of revision heard, which a watch that waits from "
+        "revision after has not told: watches begin again."},
     // 6xx: configuration and registry.
     event_descriptor{event::config_applied, event_level::info, "config", "config_applied",
                      "version routes revision", "A newer configuration is in force on this VM."},
--- a/src/tests/member_table_test.cpp
+++ b/src/tests/member_table_test.cpp
@@ -138,8 +138,10 @@
 TEST_CASE("a heartbeat reads back as it was written")
 {
     const std::vector<member_entry> entries{entry(1, 7, 3), entry(2, 8, 4, member_state::leaving)};
-    const auto read = decode_heartbeat(encode_heartbeat(entries));
-    REQUIRE(read);
+    const auto beat = decode_heartbeat(encode_heartbeat({entries, {{{5}, {6}, {7}}}}));
+    REQUIRE(beat);
+    CHECK(beat->seen == kind_revisions{{{5}, {6}, {7}}});
+    const auto* const read = &beat->entries;
     REQUIRE(read->size() == 2);
     CHECK(read->at(1).address == "10.0.0.2");
     CHECK(read->at(1).callers_port == 70);
@@ -149,10 +151,18 @@
     CHECK(read->at(1).state == member_state::leaving);
 }
 
+TEST_CASE("a heartbeat of an earlier release, without revisions, is read")
+{
+    const auto beat = decode_heartbeat(std::string("\x92\x01\x90", 3));
+    REQUIRE(beat);
+    CHECK(beat->entries.empty());
+    CHECK(beat->seen == kind_revisions{});
+}
+
 TEST_CASE("fuzz: bytes that are no heartbeat are refused, never trusted")
 {
     random_engine random{21};
-    const auto good = encode_heartbeat({entry(1, 7, 3), entry(2, 8, 4)});
+    const auto good = encode_heartbeat({{entry(1, 7, 3), entry(2, 8, 4)}, {}});
     std::uniform_int_distribution<int> byte{0, 255};
     for (int round = 0; round < 20'000; ++round) {
         auto bytes = good;
@@ -163,7 +173,7 @@
         bytes.resize(place(random) + 1);
         const auto read = decode_heartbeat(bytes);
         if (read) {
-            for (const auto& item : *read) {
+            for (const auto& item : read->entries) {
                 CHECK(item.state <= member_state::leaving);
             }
         }
--- a/src/tests/store_follower_test.cpp
+++ b/src/tests/store_follower_test.cpp
@@ -88,11 +88,12 @@
 {
     outcome seen;
     random_engine random{1};
-    store_follower<scripted_store> follower(store, "kind", times,
+    store_news news;
+    store_follower<scripted_store> follower(store, followed_kind::configurations, "kind", times,
                                             {[&] { ++seen.returned; },
                                              [&](const auto&) { ++seen.listed; },
                                              [&](const auto&) { ++seen.changed; }},
-                                            health, random);
+                                            health, news, random);
     start_task(io.get_executor(), follower.run());
     io.run();
     return seen;
--- a/src/tests/store_sync_test.cpp
+++ b/src/tests/store_sync_test.cpp
@@ -3,6 +3,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <asio/io_context.hpp>
+
+#include <algorithm>
+#include <map>
+
 using namespace sniperock;
 
 namespace {
@@ -36,8 +41,104 @@
     store_applier applier{schema, routes, registry, [this] { ++changes; }};
 };
 
+/** A store that answers everything but watches that wait: those end when they are dropped. */
+class forgetful_store {
+public:
+    explicit forgetful_store(asio::io_context& io) : io_(io) {}
+
+    task<store_listing> list(const std::string&, read_mode) { co_return store_listing{{}, {1}}; }
+    task<store_changes> watch(const std::string& kind, store_revision, milliseconds wait)
+    {
+        if (wait > seconds{1}) {
+            ++waiting;
+            auto& dropped = dropped_.try_emplace(kind, io_.get_executor()).first->second;
+            co_await dropped.wait_for(seconds{60});
+            --waiting;
+            throw store_error(store_failure::unavailable, "dropped");
+        }
+        store_changes changes{{}, {9}};
+        if (kind == "c") {
+            changes.events.push_back({{"main", {9}, 3}, false});
+        }
+        co_return changes;
+    }
+    task<> create(const std::string&, const std::string&, const nlohmann::json&) { co_return; }
+    void drop_connections()
+    {
+        ++drops;
+        std::ranges::for_each(dropped_, [](auto& item) { item.second.notify(); });
+    }
+
+    int waiting = 0;
+    int drops = 0;
+
+private:
+    asio::io_context& io_;
+    std::map<std::string, async_signal> dropped_;
+};
+
+/** A VM's following of a store that forgot its watches. */
+struct forgotten : parts {
+    forgotten()
+    {
+        sync.start();
+        run_until([this] { return store.waiting == 3; });
+    }
+
+    /** Runs, with looks at the news as a VM has them, until @p holds or a confirmed change is due.
+     */
+    template <typename Condition>
+    void run_until(Condition holds)
+    {
+        constexpr milliseconds in_force_limit{2000};
+        constexpr milliseconds tick{50};
+        const auto until = boot_clock::now() + in_force_limit;
+        while (!holds() && boot_clock::now() < until) {
+            io.restart();
+            io.run_for(tick);
+            sync.check_news(boot_clock::now());
+        }
+    }
+
+    static entry_settings settings_of_test()
+    {
+        entry_settings settings;
+        settings.store_watch = seconds{29};
+        settings.store_pulse = seconds{60};
+        return settings;
+    }
+
+    asio::io_context io{1};
+    forgetful_store store{io};
+    entry_settings settings = settings_of_test();
+    store_news news;
+    random_engine random{1};
+    store_sync<forgetful_store> sync{io, store, schema, settings, applier, registry, news, random};
+};
+
 } // namespace
 
+// Guards against one watch that is never answered while the store answers everything else.
+TEST_CASE("a configuration that another VM has is in force in time although a watch was forgotten")
+{
+    forgotten setup;
+    REQUIRE(setup.store.waiting == 3);
+    setup.news.heard({{{9}, {0}, {0}}}, boot_clock::now());
+    setup.run_until([&] { return setup.routes.table() != nullptr; });
+    REQUIRE(setup.routes.table());
+    CHECK(setup.routes.table()->config().version.value == 3);
+    CHECK(setup.news.seen().front().value == 9);
+}
+
+TEST_CASE(
+    "news of what the store does not know cost no more than one round of calls in five seconds")
+{
+    forgotten setup;
+    setup.news.heard({{{1000}, {0}, {0}}}, boot_clock::now());
+    setup.run_until([] { return false; });
+    CHECK(setup.store.drops == 1);
+}
+
 TEST_CASE("a configuration that cannot be read leaves the last good one in force")
 {
     parts all;
