--- a/src/store_follower.hpp
+++ b/src/store_follower.hpp
@@ -207,7 +207,7 @@
 
     /**
      * After an outage the kind is read anew: events cannot tell lapsed entries from those that
-     * left. Called once the store answers again, or nothing is known of it.
+     * left. Called before a failed call is tried again.
      */
     void check_outage()
     {
--- a/src/store_pulse.hpp
+++ b/src/store_pulse.hpp
@@ -65,14 +65,15 @@
         catch (const store_error& error) {
             reason = guard.expired() ? "no answer in time" : error.what();
         }
-        if (reason.empty()) {
+        const bool answered = reason.empty();
+        if (answered) {
             health_.answered(boot_clock::now());
         }
         else {
             health_.failed(began, reason);
             store_.drop_connections();
         }
-        co_return reason.empty();
+        co_return answered;
     }
 
     /** Spread, so that a fleet does not ask all at once. */
