Fix: A refusal whose body does not come does not hold its request until the deadline

What callers saw: nothing yet. A request refused as not run, with a head that announces a body that never comes, ended with 504 at its deadline, although its head had said that it did not run and another upstream could have had it.

The bound on answers that are not passed on was in bytes alone; the verdict is known at the head, but the rest was waited for.

Change: the rest of such an answer is waited for 20 ms at most, and its connection is closed then. The zero in sleep_until() has the library's name.

Conclusion: the bound is in bytes and in time.

--- a/src/async.cpp
+++ b/src/async.cpp
@@ -55,7 +55,7 @@
 
 task<> sleep_until(local_time time)
 {
-    co_await sleep_for(std::max(nanoseconds{0}, time - boot_clock::now()));
+    co_await sleep_for(std::max(nanoseconds::zero(), time - boot_clock::now()));
 }
 
 void start_task(const asio::any_io_executor& executor, task<> work)
--- a/src/call_attempt.cpp
+++ b/src/call_attempt.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t keep_whole_bytes = 1U << 20U;
 /** An answer whose body is not passed on is read up to this length, to keep the connection. */
 constexpr std::size_t max_unused_answer = 65'536;
+/** Longest wait for the rest of it: a new connection takes less, and the request waits meanwhile.
+ */
+constexpr milliseconds unused_answer_limit{20};
 /** Longest wait for a connection; some hundred times a usual handshake. */
 constexpr milliseconds connect_limit{300};
 /** A connection that answered within this time is taken to work still. */
@@ -150,6 +153,8 @@
 /** Reads past a short body, so that the connection can be kept; a longer one is not waited for. */
 task<> call_attempt::skip_unused_body(read_progress progress)
 {
+    const time_limit guard(context_.io.get_executor(), unused_answer_limit,
+                           [this] { connection_->close(); });
     std::string ignored;
     while (progress == read_progress::more && connection_->received() <= max_unused_answer) {
         ignored.clear();
