Fix: A kind of request that is not known no longer takes every route down

Change: kind upload, not repeatable. A kind that this release does not know is read as non_idempotent, with one error line (SR602) and a counter that name the route; unknown fields are ignored with a line (SR603). is_repeatable lists the kinds that may run twice instead of the one that may not, so that a new kind is safe by default. A kind that is not text, and all else that is invalid, is rejected as before.

--- a/src/config_type.hpp
+++ b/src/config_type.hpp
@@ -21,6 +21,8 @@
     non_idempotent,
     /** Has a large response; may be executed more than once. */
     download,
+    /** Has a large body; may be executed at most once for each attempt of a client. */
+    upload,
 };
 
 template <>
@@ -28,13 +30,14 @@
     enum_name<request_kind>{request_kind::idempotent, "idempotent"},
     enum_name<request_kind>{request_kind::non_idempotent, "non_idempotent"},
     enum_name<request_kind>{request_kind::download, "download"},
+    enum_name<request_kind>{request_kind::upload, "upload"},
 };
 
 /** True if a request of @p kind may be sent to a second upstream although the first upstream may
  * have executed it. */
 constexpr bool is_repeatable(request_kind kind)
 {
-    return kind != request_kind::non_idempotent;
+    return kind == request_kind::idempotent || kind == request_kind::download;
 }
 
 /** A service that receives a share of a route's requests. */
@@ -52,6 +55,8 @@
     std::string host;
     /** Begins and ends with a slash. */
     std::string path_prefix;
+    /** The most restrictive kind if the configuration states one that this release does not know.
+     */
     request_kind kind = request_kind::non_idempotent;
     /** Maximum time until a request is answered; 0 if only the request's own deadline applies. */
     milliseconds timeout{0};
@@ -91,6 +96,10 @@
     std::vector<route> routes;
     std::map<std::string, service_config, std::less<>> services;
     caller_limits limits;
+    /** Names of routes with a kind of request that this release does not know. */
+    std::vector<std::string> routes_of_unknown_kind;
+    /** Names of fields that this release does not know and ignores. */
+    std::vector<std::string> ignored_fields;
 };
 
 } // namespace sniperock
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -71,7 +71,7 @@
           members(describe_self(settings, make_incarnation(random)), settings.member_silence),
           gossip(io, members, revision_tracker, settings.member_heartbeat, random),
           store(io, endpoint_of(settings.store_address), settings.store_timeout, process_metrics),
-          applier(adapter.schema, routes, registry, [this] { store_changed(); }),
+          applier(adapter.schema, routes, registry, process_metrics, [this] { store_changed(); }),
           sync(io, store, adapter.schema, settings, applier, registry, revision_tracker, random),
           callers(io, caller_session_context(), static_cast<std::size_t>(settings.max_connections)),
           ready_page(io,
--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -45,6 +45,8 @@
     // 6xx: configuration and registry.
     config_applied = 600,
     config_refused = 601,
+    config_kind_unknown = 602,
+    config_fields_ignored = 603,
     evacuations_changed = 610,
     registry_listed = 620,
     registry_changed = 621,
--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -8,8 +8,10 @@
 namespace sniperock {
 
 store_applier::store_applier(const store_schema& schema, route_holder& routes,
-                             upstream_registry& registry, std::function<void()> on_change)
-    : schema_(schema), routes_(routes), registry_(registry), on_change_(std::move(on_change))
+                             upstream_registry& registry, metrics& measured,
+                             std::function<void()> on_change)
+    : schema_(schema), routes_(routes), registry_(registry), metrics_(measured),
+      on_change_(std::move(on_change))
 {
 }
 
@@ -43,6 +45,7 @@
             log_event(event::config_applied, {{"version", std::to_string(version.value)},
                                               {"routes", std::to_string(routes)},
                                               {"revision", std::to_string(object.revision.value)}});
+            report_unknown_parts(routes_.table()->config());
             on_change_();
         }
     }
@@ -52,6 +55,26 @@
     }
 }
 
+/** Reports the parts of a configuration that this release does not know: the routes that are served
+ * as the most restrictive kind because theirs is unknown, and the fields that are ignored. */
+void store_applier::report_unknown_parts(const configuration& config)
+{
+    if (!config.ignored_fields.empty()) {
+        std::string fields;
+        for (const auto& field : config.ignored_fields) {
+            fields += (fields.empty() ? "" : ",") + field;
+        }
+        log_event(event::config_fields_ignored, {{"fields", fields}});
+    }
+    for (const auto& name : config.routes_of_unknown_kind) {
+        log_event(event::config_kind_unknown, {{"route", name}});
+        metrics_
+            .counter("sniperock_config_unknown_kinds_total",
+                     "Configurations with a route of an unknown kind", {{"route", name}})
+            .Increment();
+    }
+}
+
 std::optional<upstream_entry> store_applier::read_upstream(const stored_object& object)
 {
     auto entry = schema_.decode_upstream(object);
--- a/src/store_sync.hpp
+++ b/src/store_sync.hpp
@@ -3,6 +3,7 @@
 
 #include "entry_settings_func.hpp"
 #include "member_gossip.hpp"
+#include "metrics.hpp"
 #include "route_table.hpp"
 #include "store_liveness_probe.hpp"
 #include "store_schema.hpp"
@@ -27,7 +28,7 @@
     /** @param on_change called when a newer configuration takes effect or all objects of a
      * kind were listed. */
     store_applier(const store_schema& schema, route_holder& routes, upstream_registry& registry,
-                  std::function<void()> on_change);
+                  metrics& measured, std::function<void()> on_change);
 
     void apply_configuration_listing(const store_listing& listing);
     void apply_configuration_changes(const store_changes& changes);
@@ -40,12 +41,14 @@
 
 private:
     void apply_configuration(const stored_object& object);
+    void report_unknown_parts(const configuration& config);
     std::optional<upstream_entry> read_upstream(const stored_object& object);
     void publish_evacuations();
 
     const store_schema& schema_;
     route_holder& routes_;
     upstream_registry& registry_;
+    metrics& metrics_;
     std::function<void()> on_change_;
     std::set<std::string, std::less<>> evacuated_;
     std::optional<local_time> configured_at_;
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -113,6 +113,14 @@
     event_descriptor{event::config_refused, event_level::error, "config", "config_refused",
                      "revision reason",
                      "A configuration cannot be read; the last valid one stays in force."},
+    event_descriptor{event::config_kind_unknown, event_level::error, "config",
+                     "config_kind_unknown", "route",
+                     "The route has a kind of request that this release does not know; its requests "
+                     "are served, and repeated only if they provably did not run."},
+    event_descriptor{event::config_fields_ignored, event_level::info, "config",
+                     "config_fields_ignored", "fields",
+                     "The configuration has fields that this release does not know; they are "
+                     "ignored."},
     event_descriptor{event::evacuations_changed, event_level::info, "config", "evacuations_changed",
                      "failure_domains", "No more requests are sent to these failure domains."},
     event_descriptor{event::registry_listed, event_level::info, "config", "registry_listed",
--- a/src/tests/store_sync_test.cpp
+++ b/src/tests/store_sync_test.cpp
@@ -38,7 +38,8 @@
     route_holder routes;
     upstream_registry registry{seconds{2}};
     int changes = 0;
-    store_applier applier{schema, routes, registry, [this] { ++changes; }};
+    metrics measured;
+    store_applier applier{schema, routes, registry, measured, [this] { ++changes; }};
 };
 
 /** A fake store that answers all calls except watches with a timeout above one second; those fail
