Change: VMs follow the store with stale reads, and with fresh ones when a report shows a gap

Cause: each VM watched three kinds with fresh calls: VMs times changes. Change: two ready VMs of each failure domain, picked by a hash (store_role), watch fresh and announce each revision to the fleet; all others watch stale. A VM that hears of a revision that its watch does not deliver within 0.35 of the limit replaces that watch by a fresh one, each kind by itself; a stale answer older than what is known changes nothing. A VM that knows no other watches fresh in calls of a quarter of the limit. First listings are stale; a VM is ready only when no other has reported a change that it lacks, or after a fresh read. Watches end before the store's history does (20 s), which cost a new listing of each kind every 20 s. Followers probe the store a fifth as often; heartbeats say when the store does not answer their sender, and their receivers then probe. The test that a revision unknown to the store costs one round of calls counts the calls of the kind concerned.

--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -69,10 +69,13 @@
           calls(io, settings, adapter.dialect, routes, registry, pool, prober, *policy, call_stats,
                 random),
           members(describe_self(settings, make_incarnation(random)), settings.member_silence),
-          gossip(io, members, revision_tracker, settings.member_heartbeat, random),
+          gossip(io, members, revision_tracker, settings.member_heartbeat, random,
+                 {[this] { return sync.store_answers(); },
+                  [this] { sync.check_store(boot_clock::now()); }}),
           store(io, endpoint_of(settings.store_address), settings.store_timeout, process_metrics),
           applier(adapter.schema, routes, registry, process_metrics, [this] { store_changed(); }),
-          sync(io, store, adapter.schema, settings, applier, registry, revision_tracker, random),
+          sync(io, store, adapter.schema, settings, applier, registry, revision_tracker, random,
+               [this] { gossip.broadcast_self(); }),
           callers(io, caller_session_context(), static_cast<std::size_t>(settings.max_connections)),
           ready_page(io,
                      page_session_context([this](const auto& exchange) { answer_ready(exchange); }),
@@ -160,12 +163,27 @@
     /** Marks the VM as ready once everything has been read from the store. */
     void update_state()
     {
-        const bool starting = members.self().state == member_state::starting;
-        if (starting && sync.synced() && routes.table()) {
+        if (members.self().state != member_state::starting) {
+            return;
+        }
+        // What was read may be stale; another VM tells whether it is, or a fresh read replaces it.
+        const bool knows_newest = sync.role() != store_role::follower ||
+                                  members.alive(boot_clock::now()).size() > 1;
+        if (knows_newest && sync.up_to_date() && routes.table()) {
             members.set_state(member_state::ready);
         }
     }
 
+    /** Informs the fleet when the store stops or starts to answer this VM. */
+    void report_store_health()
+    {
+        const bool answers = sync.store_answers();
+        if (std::exchange(store_answered, answers) != answers &&
+            sync.role() == store_role::announcer) {
+            gossip.broadcast_self();
+        }
+    }
+
     /** Rereads the settings file and applies the settings that may change at run time. */
     void reload()
     {
@@ -197,6 +215,8 @@
         }
         registry.expire(now);
         sync.check_missed_changes(now);
+        report_store_health();
+        update_state();
         if (now >= next_second) {
             next_second = now + seconds{1};
             run_every_second(now);
@@ -218,9 +238,12 @@
         registry.for_each([now](upstream& entry) { upstream_pool::close_idle(entry, now); });
         calls.fleet = {settings.vm_name, members.possibly_running_names(now),
                        now - calls.started >= settle_time};
-        update_state();
         const auto alive = members.alive(now);
         const auto ready = std::ranges::count(alive, member_state::ready, &member_entry::state);
+        const auto seeds = seed_addresses(settings);
+        const bool has_seeds = std::ranges::any_of(
+            seeds, [this](const auto& seed) { return seed != members.self().address; });
+        sync.set_role(select_store_role({members.self(), alive, now - calls.started, has_seeds}));
         if (alive.size() != alive_logged || ready != ready_logged) {
             alive_logged = alive.size();
             ready_logged = ready;
@@ -401,6 +424,8 @@
     local_time drain_start;
     std::size_t alive_logged = 0;
     std::ptrdiff_t ready_logged = 0;
+    /** Whether the store answered at the previous tick. */
+    bool store_answered = true;
 };
 
 entry_node::entry_node(entry_settings settings, entry_adapter adapter,
--- a/src/member_gossip.cpp
+++ b/src/member_gossip.cpp
@@ -28,8 +28,9 @@
 /** Fields that every release sends; an earlier release sends and reads only these two. */
 using wire_heartbeat = std::tuple<unsigned, std::vector<wire_entry>>;
 using wire_revisions = std::array<std::uint64_t, std::tuple_size_v<kind_revisions>>;
-/** Index of the sender's revisions in the message array. */
+/** Index in the message array of the sender's revisions, and of whether the store answers it. */
 constexpr std::size_t revisions_index = 2;
+constexpr std::size_t store_answers_index = 3;
 
 /** Limits on a decoded heartbeat, so that lengths in corrupt bytes do not cause allocations. */
 const msgpack::unpack_limit unpack_limits{
@@ -54,7 +55,7 @@
     wire_revisions revisions{};
     std::ranges::transform(message.revisions, revisions.begin(), &store_revision::value);
     msgpack::sbuffer buffer;
-    msgpack::pack(buffer, std::tuple{format_version, entries, revisions});
+    msgpack::pack(buffer, std::tuple{format_version, entries, revisions, message.store_answers});
     return {buffer.data(), buffer.size()};
 }
 
@@ -86,6 +87,9 @@
             std::ranges::transform(revisions, decoded.revisions.begin(),
                                    [](std::uint64_t value) { return store_revision{value}; });
         }
+        if (message.via.array.size > store_answers_index) {
+            decoded.store_answers = message.via.array.ptr[store_answers_index].as<bool>();
+        }
         return decoded;
     }
     catch (const std::exception&) {
@@ -96,11 +100,18 @@
 
 member_gossip::member_gossip(asio::io_context& io, member_table& table,
                              store_revision_tracker& revisions, milliseconds period,
-                             random_engine& random)
-    : table_(table), revisions_(revisions), period_(period), random_(random), socket_(io)
+                             random_engine& random, gossip_callbacks callbacks)
+    : table_(table), revisions_(revisions), period_(period), random_(random),
+      callbacks_(std::move(callbacks)), socket_(io)
 {
 }
 
+std::string member_gossip::encode(std::size_t max_entries, local_time now) const
+{
+    return encode_heartbeat({table_.digest(max_entries, now), revisions_.local_revisions(),
+                             callbacks_.store_answers()});
+}
+
 void member_gossip::open(const std::string& address, std::uint16_t port)
 {
     try {
@@ -118,8 +129,7 @@
 void member_gossip::send_heartbeat_to(const std::string& address)
 {
     if (address != table_.self().address) {
-        encoded_ = encode_heartbeat(
-            {table_.digest(max_digest_entries, boot_clock::now()), revisions_.local_revisions()});
+        encoded_ = encode(max_digest_entries, boot_clock::now());
         send_encoded(address);
     }
 }
@@ -128,7 +138,7 @@
 {
     const auto now = boot_clock::now();
     table_.advance_heartbeat();
-    encoded_ = encode_heartbeat({table_.digest(0, now), revisions_.local_revisions()});
+    encoded_ = encode(0, now);
     for (const auto& member : table_.alive(now)) {
         if (member.address != table_.self().address) {
             send_encoded(member.address);
@@ -154,8 +164,7 @@
     for (;;) {
         const auto now = boot_clock::now();
         table_.advance_heartbeat();
-        encoded_ = encode_heartbeat(
-            {table_.digest(max_digest_entries, now), revisions_.local_revisions()});
+        encoded_ = encode(max_digest_entries, now);
         for (const auto& address : table_.pick_targets(fanout, random_, now)) {
             send_encoded(address);
         }
@@ -196,6 +205,9 @@
         }
         const auto now = boot_clock::now();
         revisions_.record_remote(received->revisions, now);
+        if (!received->store_answers) {
+            callbacks_.on_store_outage();
+        }
         const bool has_new_member = table_.merge(received->entries, now);
         if (has_new_member) {
             // A new VM learns the fleet without waiting for the next period.
--- a/src/member_gossip.hpp
+++ b/src/member_gossip.hpp
@@ -9,6 +9,7 @@
 #include <asio/ip/udp.hpp>
 
 #include <array>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,6 +22,8 @@
     std::vector<member_entry> entries;
     /** Newest store revisions that the sender has received; zeros if the message has none. */
     kind_revisions revisions{};
+    /** False if the store does not answer the sender. */
+    bool store_answers = true;
 };
 
 /** Encodes a heartbeat for the wire. */
@@ -28,6 +31,14 @@
 /** Decodes a heartbeat; empty if the bytes are not a valid one. */
 std::optional<heartbeat> decode_heartbeat(std::string_view bytes);
 
+/** What gossip asks and tells the rest of the process. */
+struct gossip_callbacks {
+    /** True if the store answers this VM. */
+    std::function<bool()> store_answers = [] { return true; };
+    /** Another VM reports that the store does not answer it. */
+    std::function<void()> on_store_outage = [] {};
+};
+
 /**
  * Each period a VM sends the entries it knows to a few random other VMs, and also to the seeds
  * while it knows few VMs. A change so reaches all VMs in a number of periods that grows with the
@@ -36,7 +47,7 @@
 class member_gossip {
 public:
     member_gossip(asio::io_context& io, member_table& table, store_revision_tracker& revisions,
-                  milliseconds period, random_engine& random);
+                  milliseconds period, random_engine& random, gossip_callbacks callbacks);
 
     /** Opens the UDP port. @throws listen_failed */
     void open(const std::string& address, std::uint16_t port);
@@ -54,11 +65,14 @@
     static constexpr std::size_t max_datagram = 65'536;
 
     void send_encoded(const std::string& address);
+    /** A heartbeat with up to @p max_entries other VMs. */
+    std::string encode(std::size_t max_entries, local_time now) const;
 
     member_table& table_;
     store_revision_tracker& revisions_;
     milliseconds period_;
     random_engine& random_;
+    gossip_callbacks callbacks_;
     asio::ip::udp::socket socket_;
     std::vector<std::string> seeds_;
     std::uint16_t port_ = 0;
--- a/src/settings_type.hpp
+++ b/src/settings_type.hpp
@@ -27,6 +27,7 @@
     std::string store_address;
     milliseconds store_timeout{};
     milliseconds store_watch{};
+    milliseconds store_history{};
     milliseconds store_pulse{};
     milliseconds store_drain_limit{};
     milliseconds store_return_grace{};
--- a/src/store_liveness_probe.hpp
+++ b/src/store_liveness_probe.hpp
@@ -32,19 +32,35 @@
     store_liveness_probe(const asio::any_io_executor& executor, Store& store, std::string kind,
                          probe_timing timing, store_health& health, random_engine& random)
         : executor_(executor), store_(store), kind_(std::move(kind)), timing_(timing),
-          health_(health), random_(random)
+          health_(health), random_(random), wake_up_(executor)
     {
     }
 
+    /** Sets the time without an answer after which the store is probed. */
+    void set_idle_interval(milliseconds interval)
+    {
+        if (std::exchange(timing_.idle_interval, interval) > interval) {
+            wake_up_.notify();
+        }
+    }
+    /** Probes the store now. */
+    void request()
+    {
+        requested_ = true;
+        wake_up_.notify();
+    }
+
     /** Runs until the io context stops. */
     task<> run()
     {
         for (;;) {
             const auto due = health_.last_answer_at() + timing_.idle_interval;
-            co_await sleep_until(due);
-            if (health_.last_answer_at() + timing_.idle_interval > due) {
+            const auto now = boot_clock::now();
+            if (now < due && !requested_) {
+                co_await wake_up_.wait_for(due - now);
                 continue;
             }
+            requested_ = false;
             const bool answered = co_await probe();
             if (!answered) {
                 co_await sleep_for(next_retry_delay());
@@ -90,6 +106,8 @@
     probe_timing timing_;
     store_health& health_;
     random_engine& random_;
+    async_signal wake_up_;
+    bool requested_ = false;
 };
 
 } // namespace sniperock
--- a/src/store_news.hpp
+++ b/src/store_news.hpp
@@ -9,6 +9,8 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <optional>
 
 namespace sniperock {
 
@@ -39,9 +41,19 @@
     void record_remote(const kind_revisions& remote, local_time now)
     {
         for (std::size_t i = 0; i < remote.size(); ++i) {
-            if (remote.at(i) > remote_revisions_.at(i)) {
-                remote_revisions_.at(i) = remote.at(i);
-                remote_updated_at_.at(i) = now;
+            auto& reports = reports_.at(i);
+            if (remote.at(i) <= newest_of(reports)) {
+                continue;
+            }
+            while (!reports.empty() && reports.front().revision <= local_revisions_.at(i)) {
+                reports.pop_front();
+            }
+            if (reports.size() == max_reports) {
+                // The time of the oldest report not yet received matters, so newer ones are merged.
+                reports.back().revision = remote.at(i);
+            }
+            else {
+                reports.push_back({remote.at(i), now});
             }
         }
     }
@@ -50,20 +62,37 @@
     /** Newest revision of a kind that any other VM has reported. */
     [[nodiscard]] store_revision remote_revision(watched_kind kind) const
     {
-        return remote_revisions_.at(index(kind));
+        return newest_of(reports_.at(index(kind)));
     }
-    /** When remote_revision() was first reported. */
-    [[nodiscard]] local_time remote_updated_at(watched_kind kind) const
+    /** When a revision of a kind after @p revision was first reported by another VM; empty if none
+     * was. */
+    [[nodiscard]] std::optional<local_time> first_reported_after(watched_kind kind,
+                                                                 store_revision revision) const
     {
-        return remote_updated_at_.at(index(kind));
+        const auto& reports = reports_.at(index(kind));
+        const auto found = std::ranges::find_if(
+            reports, [revision](const report& item) { return item.revision > revision; });
+        return found == reports.end() ? std::nullopt : std::optional{found->heard_at};
     }
 
 private:
+    /** A revision and when another VM first reported it. */
+    struct report {
+        store_revision revision;
+        local_time heard_at;
+    };
+
+    /** Reports kept of one kind; announcers batch changes, so there are a few in a second. */
+    static constexpr std::size_t max_reports = 16;
+
     static std::size_t index(watched_kind kind) { return static_cast<std::size_t>(kind); }
+    static store_revision newest_of(const std::deque<report>& reports)
+    {
+        return reports.empty() ? store_revision{} : reports.back().revision;
+    }
 
     kind_revisions local_revisions_{};
-    kind_revisions remote_revisions_{};
-    std::array<local_time, enum_names<watched_kind>.size()> remote_updated_at_{};
+    std::array<std::deque<report>, enum_names<watched_kind>.size()> reports_;
 };
 
 } // namespace sniperock
--- a/src/store_sync.hpp
+++ b/src/store_sync.hpp
@@ -64,29 +64,36 @@
 public:
     store_sync(asio::io_context& io, Store& store, const store_schema& schema,
                const entry_settings& settings, store_applier& applier, upstream_registry& registry,
-               store_revision_tracker& revisions, random_engine& random)
+               store_revision_tracker& revisions, random_engine& random,
+               const std::function<void()>& announce)
         : io_(io), store_(store), schema_(schema), settings_(settings),
           batch_interval_(std::chrono::duration_cast<milliseconds>(settings.store_drain_limit *
                                                                    batch_fraction)),
           configurations_(
               store, watched_kind::configurations, schema.configurations,
-              {settings.store_watch, batch_interval_ / 2},
+              {watch_timeout(settings), batch_interval_ / 2, settings.store_drain_limit,
+               read_mode::stale},
               {[] {},
                [&applier](const auto& listing) { applier.apply_configuration_listing(listing); },
-               [&applier](const auto& changes) { applier.apply_configuration_changes(changes); }},
+               [&applier](const auto& changes) { applier.apply_configuration_changes(changes); },
+               announce},
               health_, revisions, random),
           upstreams_(store, watched_kind::upstreams, schema.upstreams,
-                     {settings.store_watch, batch_interval_, read_mode::stale},
+                     {watch_timeout(settings), batch_interval_, settings.store_drain_limit,
+                      read_mode::stale},
                      {[&registry] { registry.store_recovered(boot_clock::now()); },
                       [&applier](const auto& listing) { applier.apply_upstream_listing(listing); },
-                      [&applier](const auto& changes) { applier.apply_upstream_changes(changes); }},
+                      [&applier](const auto& changes) { applier.apply_upstream_changes(changes); },
+                      announce},
                      health_, revisions, random),
           evacuations_(
               store, watched_kind::evacuations, schema.evacuations,
-              {settings.store_watch, batch_interval_, read_mode::stale},
+              {watch_timeout(settings), batch_interval_, settings.store_drain_limit,
+               read_mode::stale},
               {[] {},
                [&applier](const auto& listing) { applier.apply_evacuation_listing(listing); },
-               [&applier](const auto& changes) { applier.apply_evacuation_changes(changes); }},
+               [&applier](const auto& changes) { applier.apply_evacuation_changes(changes); },
+               announce},
               health_, revisions, random),
           liveness_probe_(io.get_executor(), store, schema.vms, {settings.store_pulse}, health_,
                           random)
@@ -101,25 +108,43 @@
         start_task(io_.get_executor(), liveness_probe_.run());
     }
 
-    /** True if every kind was read at least once. */
-    [[nodiscard]] bool synced() const
+    /** True if every kind was read and this VM knows of no change that it lacks. */
+    [[nodiscard]] bool up_to_date() const
     {
-        return configurations_.synced() && upstreams_.synced() && evacuations_.synced();
+        return configurations_.up_to_date() && upstreams_.up_to_date() && evacuations_.up_to_date();
     }
-    /** Restarts all watches if one of them missed a change that another VM has received. */
+    [[nodiscard]] store_role role() const { return role_; }
+    /** True if no probe of the store has failed since its last answer. */
+    [[nodiscard]] bool store_answers() const { return health_.is_answering(); }
+    /** Another VM reports that the store does not answer it. */
+    void check_store(local_time now)
+    {
+        // A store that has just answered need not be asked.
+        constexpr milliseconds recent_answer{1000};
+        if (health_.is_answering() && now - health_.last_answer_at() >= recent_answer) {
+            liveness_probe_.request();
+        }
+    }
+    /** Sets how this VM follows the store. */
+    void set_role(store_role role)
+    {
+        if (std::exchange(role_, role) != role) {
+            log_event(event::store_role_changed, {{"role", std::string{to_name(role)}}});
+        }
+        for (auto* watcher : {&configurations_, &upstreams_, &evacuations_}) {
+            watcher->set_role(role);
+        }
+        // The other VMs tell a follower of an outage.
+        constexpr int follower_factor = 5;
+        liveness_probe_.set_idle_interval(settings_.store_pulse *
+                                          (role == store_role::follower ? follower_factor : 1));
+    }
+    /** Restarts each watch that has missed a change that another VM has reported. */
     void check_missed_changes(local_time now)
     {
-        const std::array watchers{&configurations_, &upstreams_, &evacuations_};
-        const auto lagging_watcher = std::ranges::find_if(
-            watchers, [now](const auto* watcher) { return watcher->missed_change(now); });
-        if (lagging_watcher == watchers.end() || now < next_reset_) {
-            return;
+        for (auto* watcher : {&configurations_, &upstreams_, &evacuations_}) {
+            watcher->check_missed_change(now);
         }
-        // Limits the store requests caused by a VM that reports a revision unknown to the store.
-        constexpr seconds min_reset_interval{5};
-        next_reset_ = now + min_reset_interval;
-        (*lagging_watcher)->log_missed_change();
-        store_.drop_connections();
     }
     /** Calls @p visit(kind, time) for each kind with the time of the last answer about it. */
     template <typename Visit>
@@ -167,6 +192,14 @@
     }
 
 private:
+    /** Timeout of a watch: its revision is still in the store's history when it ends. */
+    static milliseconds watch_timeout(const entry_settings& settings)
+    {
+        constexpr double history_fraction = 0.7;
+        return std::min(settings.store_watch, std::chrono::duration_cast<milliseconds>(
+                                                  settings.store_history * history_fraction));
+    }
+
     asio::io_context& io_;
     Store& store_;
     const store_schema& schema_;
@@ -177,7 +210,7 @@
     store_watcher<Store> upstreams_;
     store_watcher<Store> evacuations_;
     store_liveness_probe<Store> liveness_probe_;
-    local_time next_reset_;
+    store_role role_ = store_role::follower;
     bool registered_ = false;
 };
 
--- a/src/store_type.hpp
+++ b/src/store_type.hpp
@@ -81,14 +81,20 @@
     store_failure failure_;
 };
 
-/** Required freshness of a listing. */
+/** Required freshness of a listing or a watch. */
 enum class read_mode {
     /** Current as of the call. */
     fresh,
-    /** May be seconds old; cheaper for the store. */
+    /** May be seconds old, and older than an earlier answer; cheaper for the store. */
     stale,
 };
 
+template <>
+inline constexpr std::array enum_names<read_mode>{
+    enum_name<read_mode>{read_mode::fresh, "fresh"},
+    enum_name<read_mode>{read_mode::stale, "stale"},
+};
+
 /** A client of the store. Calls throw store_error. */
 template <typename T>
 concept object_store = requires(T& store, const std::string& kind, store_revision after,
@@ -97,11 +103,13 @@
         store.list(kind, read_mode::fresh)
     } -> std::same_as<task<store_listing>>;
     {
-        store.watch(kind, after, wait)
+        store.watch(kind, after, wait, read_mode::fresh)
     } -> std::same_as<task<store_changes>>;
     {
         store.create(kind, kind, spec)
     } -> std::same_as<task<>>;
+    // The pending watch of the kind fails.
+    store.cancel_watch(kind);
     // Pending calls fail.
     store.drop_connections();
 };
--- a/src/store_watcher.hpp
+++ b/src/store_watcher.hpp
@@ -5,6 +5,7 @@
 #include "random_type.hpp"
 #include "store_health.hpp"
 #include "store_news.hpp"
+#include "store_role.hpp"
 #include "store_type.hpp"
 
 #include <algorithm>
@@ -21,6 +22,8 @@
     std::function<void(const store_listing&)> on_listing;
     /** Changes, in order. */
     std::function<void(const store_changes&)> on_changes;
+    /** This VM, an announcer, has received a change that no other VM has reported. */
+    std::function<void()> on_announce = [] {};
 };
 
 /** Timeouts and intervals of a watcher. */
@@ -29,6 +32,8 @@
     milliseconds watch_timeout{25'000};
     /** Minimum time between the starts of two watch calls; changes in between are batched. */
     milliseconds min_watch_interval{0};
+    /** Time within which a change has to take effect on this VM. */
+    milliseconds apply_limit{2000};
     /** Listings may be stale, as the watch that follows delivers the changes they lack. The first
      * listing after an outage is always fresh. */
     read_mode listing_mode = read_mode::fresh;
@@ -39,6 +44,47 @@
     milliseconds max_health_wait{15'000};
 };
 
+/** Parameters of one watch call. */
+struct watch_call {
+    read_mode mode = read_mode::fresh;
+    milliseconds timeout{0};
+    /** Minimum time from its start to that of the next one. */
+    milliseconds min_interval{0};
+};
+
+/**
+ * Selects the next watch call while the store answers.
+ * @param catching_up another VM has reported a change that the last call did not deliver.
+ */
+inline watch_call select_watch_call(const watch_timing& timing, store_role role, bool catching_up)
+{
+    // An announcer's changes reach the followers before their own watches are due.
+    constexpr double announcer_interval_factor = 0.4;
+    // The store may forget a watch; nobody would tell a VM that is alone.
+    constexpr double alone_timeout_factor = 0.25;
+    constexpr milliseconds min_alone_timeout{250};
+    constexpr milliseconds immediate{1};
+    const auto scaled = [](milliseconds time, double factor) {
+        return std::chrono::duration_cast<milliseconds>(time * factor);
+    };
+    if (catching_up) {
+        return {read_mode::fresh, immediate, milliseconds{0}};
+    }
+    switch (role) {
+    case store_role::follower:
+        return {read_mode::stale, timing.watch_timeout, timing.min_watch_interval};
+    case store_role::announcer:
+        return {read_mode::fresh, timing.watch_timeout,
+                scaled(timing.min_watch_interval, announcer_interval_factor)};
+    default:
+        return {
+            read_mode::fresh,
+            std::min(timing.watch_timeout,
+                     std::max(scaled(timing.apply_limit, alone_timeout_factor), min_alone_timeout)),
+            scaled(timing.min_watch_interval, announcer_interval_factor)};
+    }
+}
+
 /**
  * Lists a kind and then watches it; lists again when the store no longer has the history since the
  * last known revision. Retries with exponential backoff and jitter, so that the VMs of a fleet do
@@ -68,6 +114,9 @@
             catch (const store_error& error) {
                 failure = error.failure();
                 long_watch_pending_ = false;
+                if (std::exchange(cancelled_, false)) {
+                    continue;
+                }
                 handle_failure(error);
             }
             if (failure != store_failure::history_gone) {
@@ -78,35 +127,67 @@
         }
     }
 
-    /** At least one listing was applied. */
-    [[nodiscard]] bool synced() const { return synced_; }
+    /** A listing was applied, and no other VM has reported a change that this VM lacks. */
+    [[nodiscard]] bool up_to_date() const
+    {
+        return synced_ && !catching_up_ &&
+               !revisions_.first_reported_after(kind_id_, last_revision_);
+    }
     /** The kind's name in the store. */
     [[nodiscard]] const std::string& kind() const { return kind_; }
     /** When the store last answered a call of this watcher. */
     [[nodiscard]] local_time last_answer() const { return last_answer_; }
-    /** True if the pending watch has not delivered a change that another VM has already received;
-     * the store will not answer such a watch. */
-    [[nodiscard]] bool missed_change(local_time now) const
+    /** Sets how this VM follows the store; takes effect at once. */
+    void set_role(store_role role)
     {
-        // The store notifies the VMs of a change one after another, and some links are slow.
-        constexpr milliseconds delivery_grace{500};
-        const auto since = std::max(call_began_, revisions_.remote_updated_at(kind_id_));
-        return long_watch_pending_ && revisions_.remote_revision(kind_id_) > last_revision_ &&
-               now - since >= delivery_grace;
+        const bool was_follower = std::exchange(role_, role) == store_role::follower;
+        if (was_follower && role != store_role::follower) {
+            // The pending stale watch may miss what this VM now has to find by itself.
+            cancel_pending_watch();
+        }
     }
-
-    void log_missed_change() const
+    /** Replaces the pending watch by an immediate fresh one if it has not delivered a change that
+     * another VM has reported: it is stale, or the store has forgotten it. */
+    void check_missed_change(local_time now)
     {
+        if (!long_watch_pending_ || now < next_catch_up_ || !missed_change(now)) {
+            return;
+        }
         log_event(event::store_change_missed,
                   {{"kind", kind_},
                    {"after", std::to_string(last_revision_.value)},
                    {"heard", std::to_string(revisions_.remote_revision(kind_id_).value)}});
+        cancel_pending_watch();
     }
 
 private:
     /** Timeout of a watch after a failure; its answer shows that the store answers again. */
     static constexpr milliseconds min_watch_timeout{1};
 
+    [[nodiscard]] bool missed_change(local_time now) const
+    {
+        // The rest of the limit covers the announcement, the fresh call and a stalled process.
+        constexpr double wait_fraction = 0.35;
+        // A store's answer takes some ms; some links are slow.
+        constexpr milliseconds delivery_grace{150};
+        const auto reported_at = revisions_.first_reported_after(kind_id_, last_revision_);
+        if (!reported_at || !watched_) {
+            // A VM that starts is not ready before it has caught up.
+            return reported_at.has_value();
+        }
+        return now - call_began_ >= delivery_grace &&
+               now - *reported_at >= timing_.apply_limit * wait_fraction;
+    }
+
+    void cancel_pending_watch()
+    {
+        catching_up_ = true;
+        if (long_watch_pending_) {
+            cancelled_ = true;
+            store_.cancel_watch(kind_);
+        }
+    }
+
     /** Lists the kind if needed, then watches from the last known revision. Ends only by throwing
      * store_error. */
     task<> list_and_watch()
@@ -116,20 +197,57 @@
         }
         for (;;) {
             call_began_ = boot_clock::now();
-            long_watch_pending_ = failures_ == 0;
-            const auto wait = long_watch_pending_ ? timing_.watch_timeout : min_watch_timeout;
-            const auto changes = co_await store_.watch(kind_, last_revision_, wait);
+            const auto call = failures_ == 0 ? select_watch_call(timing_, role_, catching_up_)
+                                             : watch_call{read_mode::fresh, min_watch_timeout};
+            long_watch_pending_ = call.timeout > min_watch_timeout;
+            const auto changes =
+                co_await store_.watch(kind_, last_revision_, call.timeout, call.mode);
             long_watch_pending_ = false;
+            cancelled_ = false;
             handle_answer();
-            log_changes(changes);
+            watched_ = true;
+            log_changes(changes, call.mode);
             next_listing_mode_ = timing_.listing_mode;
-            last_revision_ = changes.at_revision;
-            for (const auto& change : changes.events) {
-                revisions_.record_local(kind_id_, change.object.revision);
+            if (changes.at_revision >= last_revision_) {
+                apply_changes(changes);
+            }
+            if (call.mode == read_mode::fresh) {
+                end_catch_up();
             }
-            callbacks_.on_changes(changes);
-            co_await sleep_until(call_began_ + timing_.min_watch_interval);
+            co_await sleep_until(call_began_ + call.min_interval);
+        }
+    }
+
+    void apply_changes(const store_changes& changes)
+    {
+        last_revision_ = changes.at_revision;
+        for (const auto& change : changes.events) {
+            revisions_.record_local(kind_id_, change.object.revision);
         }
+        callbacks_.on_changes(changes);
+        announce();
+    }
+
+    /** Announces what this VM has received, unless another VM has already done so. */
+    void announce()
+    {
+        const auto newest = revisions_.local_revisions().at(static_cast<std::size_t>(kind_id_));
+        if (role_ == store_role::announcer && newest > revisions_.remote_revision(kind_id_) &&
+            newest > announced_) {
+            announced_ = newest;
+            callbacks_.on_announce();
+        }
+    }
+
+    /** Called after a fresh answer. If it lacks a change that another VM has reported, that report
+     * is wrong, and must not cause a call each time. */
+    void end_catch_up()
+    {
+        constexpr seconds wrong_report_pause{5};
+        if (catching_up_ && revisions_.first_reported_after(kind_id_, last_revision_)) {
+            next_catch_up_ = boot_clock::now() + wrong_report_pause;
+        }
+        catching_up_ = false;
     }
 
     /** Waits until the liveness probe succeeds, at most for max_health_wait. */
@@ -147,7 +265,10 @@
     task<> list()
     {
         // The next listing is fresh, unless the watch that follows this one finds its history.
-        const auto mode = std::exchange(next_listing_mode_, read_mode::fresh);
+        auto mode = std::exchange(next_listing_mode_, read_mode::fresh);
+        if (role_ == store_role::alone) {
+            mode = read_mode::fresh;
+        }
         call_began_ = boot_clock::now();
         auto listing = co_await store_.list(kind_, mode);
         if (mode == read_mode::stale && synced_ && listing.at_revision <= last_revision_) {
@@ -155,12 +276,14 @@
         }
         handle_answer();
         last_revision_ = listing.at_revision;
+        catching_up_ = catching_up_ && mode == read_mode::stale;
         has_listing_ = true;
         synced_ = true;
         for (const auto& object : listing.objects) {
             revisions_.record_local(kind_id_, object.revision);
         }
         callbacks_.on_listing(listing);
+        announce();
     }
 
     /** Time since the start of the current call. */
@@ -182,12 +305,13 @@
         health_.record_answer(now);
     }
 
-    void log_changes(const store_changes& changes)
+    void log_changes(const store_changes& changes, read_mode mode)
     {
         log_event(event::store_watch_ended, {{"kind", kind_},
                                              {"after", std::to_string(last_revision_.value)},
                                              {"at", std::to_string(changes.at_revision.value)},
                                              {"events", std::to_string(changes.events.size())},
+                                             {"mode", std::string{to_name(mode)}},
                                              {"ms", std::to_string(call_age().count())}});
     }
 
@@ -251,9 +375,20 @@
     read_mode next_listing_mode_ = timing_.listing_mode;
     bool has_listing_ = false;
     bool synced_ = false;
+    /** A watch was answered. */
+    bool watched_ = false;
     bool in_outage_ = false;
-    /** A watch call with the full timeout is pending. */
+    store_role role_ = store_role::follower;
+    /** A watch call that waits for a change is pending. */
     bool long_watch_pending_ = false;
+    /** The pending call was cancelled by this watcher, which is no failure of the store. */
+    bool cancelled_ = false;
+    /** The next watch is fresh and immediate. */
+    bool catching_up_ = false;
+    /** No earlier time for the next watch that replaces a pending one. */
+    local_time next_catch_up_;
+    /** Newest revision announced by this VM. */
+    store_revision announced_;
     unsigned failures_ = 0;
     local_time failing_since_;
     local_time call_began_;
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -91,7 +91,7 @@
                      "reason",
                      "This VM could not register itself in the store; registration is retried."},
     event_descriptor{event::store_watch_ended, event_level::info, "store", "store_watch_ended",
-                     "kind after at events ms",
+                     "kind after at events mode ms",
                      "A watch that started at revision after was answered as of revision at; the "
                      "next watch starts there."},
     event_descriptor{event::store_call_failed, event_level::info, "store", "store_call_failed",
@@ -106,17 +106,21 @@
     event_descriptor{event::store_change_missed, event_level::warning, "store",
                      "store_change_missed", "kind after heard",
                      "Another VM has seen a change at revision heard that a pending watch from "
-                     "revision after has not reported; the watches are restarted."},
+                     "revision after has not reported; the watch is replaced by a fresh one."},
+    event_descriptor{event::store_role_changed, event_level::info, "store", "store_role_changed",
+                     "role",
+                     "How this VM follows the store: alone and announcer read fresh, a follower "
+                     "stale until another VM reports a change that it lacks."},
     // 6xx: configuration and registry.
     event_descriptor{event::config_applied, event_level::info, "config", "config_applied",
                      "version routes revision", "A newer configuration is in force on this VM."},
     event_descriptor{event::config_refused, event_level::error, "config", "config_refused",
                      "revision reason",
                      "A configuration cannot be read; the last valid one stays in force."},
-    event_descriptor{event::config_kind_unknown, event_level::error, "config",
-                     "config_kind_unknown", "route",
-                     "The route has a kind of request that this release does not know; its requests "
-                     "are served, and repeated only if they provably did not run."},
+    event_descriptor{
+        event::config_kind_unknown, event_level::error, "config", "config_kind_unknown", "route",
+        "The route has a kind of request that this release does not know; its requests "
+        "are served, and repeated only if they provably did not run."},
     event_descriptor{event::config_fields_ignored, event_level::info, "config",
                      "config_fields_ignored", "fields",
                      "The configuration has fields that this release does not know; they are "
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -57,10 +57,15 @@
                        setting_flag::optional, "Timeout of one store call, except watches"},
     setting_descriptor{"store", "watch", &entry_settings::store_watch, "ms", "29000", 100, 30'000,
                        setting_flag::optional, "Time that one watch call waits for a change"},
+    setting_descriptor{"store", "history", &entry_settings::store_history, "ms", "20000", 100,
+                       day_ms, setting_flag::optional,
+                       "Time for which the store keeps its history; watches end before it, since a "
+                       "watch whose history is gone costs a new listing"},
     setting_descriptor{"store", "pulse", &entry_settings::store_pulse, "ms", "2000", 100, 60'000,
                        setting_flag::optional,
-                       "The store is probed when it has not been heard from for this time; if the "
-                       "probe fails, pending watches are restarted"},
+                       "The store is probed when it has not been heard from for this time (five "
+                       "times as long by a VM that follows others); if the probe fails, pending "
+                       "watches are restarted"},
     setting_descriptor{"store", "drain_limit", &entry_settings::store_drain_limit, "ms", "2000", 0,
                        60'000, setting_flag::optional,
                        "Time after which an upstream that announced that it is leaving receives no "
--- a/src/tests/store_liveness_probe_test.cpp
+++ b/src/tests/store_liveness_probe_test.cpp
@@ -29,11 +29,12 @@
         }
         co_return store_listing{};
     }
-    task<store_changes> watch(const std::string&, store_revision, milliseconds)
+    task<store_changes> watch(const std::string&, store_revision, milliseconds, read_mode)
     {
         co_return store_changes{};
     }
     task<> create(const std::string&, const std::string&, const nlohmann::json&) { co_return; }
+    void cancel_watch(const std::string&) {}
     void drop_connections()
     {
         ++drops;
--- a/src/tests/store_news_test.cpp
+++ b/src/tests/store_news_test.cpp
@@ -16,7 +16,27 @@
     tracker.record_remote({{{3}, {9}, {0}}}, start + seconds{1});
     tracker.record_remote({{{2}, {8}, {0}}}, start + seconds{2});
     CHECK(tracker.remote_revision(watched_kind::configurations).value == 3);
-    CHECK(tracker.remote_updated_at(watched_kind::configurations) == start);
+    CHECK(tracker.first_reported_after(watched_kind::configurations, {0}) == start);
     CHECK(tracker.remote_revision(watched_kind::upstreams).value == 9);
-    CHECK(tracker.remote_updated_at(watched_kind::upstreams) == start + seconds{1});
+    CHECK(tracker.first_reported_after(watched_kind::upstreams, {4}) == start + seconds{1});
+    CHECK_FALSE(tracker.first_reported_after(watched_kind::upstreams, {9}));
+    CHECK_FALSE(tracker.first_reported_after(watched_kind::evacuations, {0}));
+}
+
+// Guards against reports that come faster than the grace and so would put off the fresh read for
+// ever.
+TEST_CASE("changes in quick succession: the first one that is missing counts")
+{
+    const local_time start{seconds{100}};
+    store_revision_tracker tracker;
+    for (std::uint64_t i = 1; i <= 100; ++i) {
+        tracker.record_remote({{{10 + i}, {0}, {0}}}, start + milliseconds{10} * i);
+    }
+    CHECK(tracker.first_reported_after(watched_kind::configurations, {10}) ==
+          start + milliseconds{10});
+    CHECK(tracker.first_reported_after(watched_kind::configurations, {13}) ==
+          start + milliseconds{40});
+    CHECK(tracker.remote_revision(watched_kind::configurations).value == 110);
+    CHECK(tracker.first_reported_after(watched_kind::configurations, {109}));
+    CHECK_FALSE(tracker.first_reported_after(watched_kind::configurations, {110}));
 }
--- a/src/tests/store_sync_test.cpp
+++ b/src/tests/store_sync_test.cpp
@@ -49,16 +49,17 @@
     explicit stuck_watch_store(asio::io_context& io) : io_(io) {}
 
     task<store_listing> list(const std::string&, read_mode) { co_return store_listing{{}, {1}}; }
-    task<store_changes> watch(const std::string& kind, store_revision, milliseconds wait)
+    task<store_changes> watch(const std::string& kind, store_revision, milliseconds wait,
+                              read_mode mode)
     {
         if (wait > seconds{1}) {
             ++pending_watches;
-            auto& dropped_signal =
-                dropped_signals_.try_emplace(kind, io_.get_executor()).first->second;
-            co_await dropped_signal.wait_for(seconds{60});
+            co_await dropped_signal_of(kind).wait_for(seconds{60});
             --pending_watches;
             throw store_error(store_failure::unavailable, "dropped");
         }
+        ++short_watches;
+        all_short_watches_fresh = all_short_watches_fresh && mode == read_mode::fresh;
         store_changes changes{{}, {9}};
         if (kind == "c") {
             changes.events.push_back({{"main", {9}, 3}, false});
@@ -66,16 +67,22 @@
         co_return changes;
     }
     task<> create(const std::string&, const std::string&, const nlohmann::json&) { co_return; }
+    void cancel_watch(const std::string& kind) { dropped_signal_of(kind).notify(); }
     void drop_connections()
     {
-        ++drops;
         std::ranges::for_each(dropped_signals_, [](auto& item) { item.second.notify(); });
     }
 
     int pending_watches = 0;
-    int drops = 0;
+    int short_watches = 0;
+    bool all_short_watches_fresh = true;
 
 private:
+    async_signal& dropped_signal_of(const std::string& kind)
+    {
+        return dropped_signals_.try_emplace(kind, io_.get_executor()).first->second;
+    }
+
     asio::io_context& io_;
     std::map<std::string, async_signal> dropped_signals_;
 };
@@ -107,6 +114,8 @@
     {
         entry_settings settings;
         settings.store_watch = seconds{29};
+        settings.store_history = seconds{60};
+        settings.store_drain_limit = seconds{2};
         settings.store_pulse = seconds{60};
         return settings;
     }
@@ -116,22 +125,50 @@
     entry_settings settings = test_settings();
     store_revision_tracker revisions;
     random_engine random{1};
-    store_sync<stuck_watch_store> sync{io,      store,    schema,    settings,
-                                       applier, registry, revisions, random};
+    int announcements = 0;
+    store_sync<stuck_watch_store> sync{io,        store,   schema,
+                                       settings,  applier, registry,
+                                       revisions, random,  [this] { ++announcements; }};
 };
 
 } // namespace
 
-// Guards against a single watch that is never answered while the store answers all other calls.
+// Guards against a single watch that is never answered while the store answers all other calls, and
+// against a stale watch that does not deliver a change yet.
 TEST_CASE("a configuration that another VM has is applied in time although the watch never answers")
 {
     stuck_watch_fixture setup;
+    setup.sync.set_role(GENERATE(store_role::follower, store_role::announcer));
     REQUIRE(setup.store.pending_watches == 3);
     setup.revisions.record_remote({{{9}, {0}, {0}}}, boot_clock::now());
     setup.run_until([&] { return setup.routes.table() != nullptr; });
     REQUIRE(setup.routes.table());
     CHECK(setup.routes.table()->config().version.value == 3);
     CHECK(setup.revisions.local_revisions().front().value == 9);
+    CHECK(setup.store.all_short_watches_fresh);
+}
+
+TEST_CASE("a VM that turns from a follower into an announcer or is alone reads fresh at once")
+{
+    stuck_watch_fixture setup;
+    setup.sync.set_role(GENERATE(store_role::alone, store_role::announcer));
+    setup.run_until([&] { return setup.routes.table() != nullptr; });
+    CHECK(setup.routes.table());
+    CHECK(setup.store.short_watches >= 3);
+    CHECK(setup.store.all_short_watches_fresh);
+}
+
+TEST_CASE("an announcer announces a change once, and only if no other VM has reported it")
+{
+    const bool reported = GENERATE(false, true);
+    stuck_watch_fixture setup;
+    if (reported) {
+        setup.revisions.record_remote({{{9}, {0}, {0}}}, boot_clock::now());
+    }
+    setup.sync.set_role(store_role::announcer);
+    setup.run_until([] { return false; });
+    CHECK(setup.routes.table());
+    CHECK(setup.announcements == (reported ? 0 : 1));
 }
 
 TEST_CASE("a revision unknown to the store costs at most one round of calls in five seconds")
@@ -139,7 +176,7 @@
     stuck_watch_fixture setup;
     setup.revisions.record_remote({{{1000}, {0}, {0}}}, boot_clock::now());
     setup.run_until([] { return false; });
-    CHECK(setup.store.drops == 1);
+    CHECK(setup.store.short_watches == 1);
 }
 
 TEST_CASE("a configuration that cannot be read leaves the last valid one in effect")
--- a/src/tests/store_watcher_test.cpp
+++ b/src/tests/store_watcher_test.cpp
@@ -33,8 +33,10 @@
         co_return store_listing{{}, current.at_revision};
     }
 
-    task<store_changes> watch(const std::string&, store_revision after, milliseconds wait)
+    task<store_changes> watch(const std::string&, store_revision after, milliseconds wait,
+                              read_mode mode)
     {
+        watch_modes.push_back(mode);
         watch_revisions.push_back(after.value);
         watch_timeouts.push_back(wait);
         const auto current = next(watch_steps_);
@@ -43,11 +45,13 @@
 
     task<> create(const std::string&, const std::string&, const nlohmann::json&) { co_return; }
 
+    void cancel_watch(const std::string&) {}
     void drop_connections() {}
 
     std::function<void()> before_failure;
 
     std::vector<read_mode> list_modes;
+    std::vector<read_mode> watch_modes;
     std::vector<milliseconds> watch_timeouts;
     std::vector<std::uint64_t> watch_revisions;
 
@@ -105,8 +109,8 @@
     return run_watcher(io, store, timing, health);
 }
 
-constexpr watch_timing short_timing{milliseconds{10}, milliseconds{0}, read_mode::stale,
-                                    milliseconds{0}};
+constexpr watch_timing short_timing{milliseconds{10}, milliseconds{0}, milliseconds{2000},
+                                    read_mode::stale, milliseconds{0}};
 
 } // namespace
 
@@ -145,6 +149,39 @@
     CHECK(counts.listings == 2);
 }
 
+TEST_CASE("a stale watch that answers with an older revision changes nothing")
+{
+    asio::io_context io;
+    const store_event older{{"main", {4}, nullptr}, false};
+    scripted_store store(io, {{{}, {5}, {}}},
+                         {{{}, {7}, {}}, {{}, {4}, {older}}, {{}, {9}, {}}, {{}, {10}, {}}});
+    const auto counts = run_watcher(io, store, short_timing);
+    CHECK(store.watch_revisions == std::vector<std::uint64_t>{5, 7, 7, 9, 10});
+    CHECK(counts.change_batches == 3);
+    CHECK(std::ranges::count(store.watch_modes, read_mode::stale) == 5);
+}
+
+TEST_CASE("the watch call of each role")
+{
+    const watch_timing timing{milliseconds{29'000}, milliseconds{1300}, milliseconds{2000}};
+    const auto follower = select_watch_call(timing, store_role::follower, false);
+    CHECK(follower.mode == read_mode::stale);
+    CHECK(follower.timeout == timing.watch_timeout);
+    CHECK(follower.min_interval == timing.min_watch_interval);
+    const auto announcer = select_watch_call(timing, store_role::announcer, false);
+    CHECK(announcer.mode == read_mode::fresh);
+    CHECK(announcer.timeout == timing.watch_timeout);
+    // A follower whose own watch withholds the change has to hear of it and to read it in time.
+    CHECK(announcer.min_interval <= timing.apply_limit / 2);
+    const auto alone = select_watch_call(timing, store_role::alone, false);
+    CHECK(alone.mode == read_mode::fresh);
+    CHECK(alone.timeout <= timing.apply_limit / 2);
+    for (const auto role : {store_role::alone, store_role::announcer, store_role::follower}) {
+        CHECK(select_watch_call(timing, role, true).mode == read_mode::fresh);
+        CHECK(select_watch_call(timing, role, true).timeout <= milliseconds{1});
+    }
+}
+
 TEST_CASE("history gone again right after a stale listing: the next listing is fresh")
 {
     asio::io_context io;
