Feature: Large request bodies are streamed to the upstream with bounded buffers

Change: request_body is a buffer between the session and the attempt. Until a byte is discarded the body can be sent again after a refusal (not run); later the caller is told 503, which is true. What breaks off within a body may have run: 502, no repeat. An answer that comes before the body was read is forwarded, the caller's connection closes after it, and the upstream's connection is not reused, so the rest of the body reaches no other request. Open: a caller that leaves while reading from it is paused is noticed only when the upstream reads on or the deadline passes.

--- a/src/call.cpp
+++ b/src/call.cpp
@@ -79,7 +79,7 @@
     if (route_->timeout > milliseconds{0}) {
         limit = std::min(limit, route_->timeout);
     }
-    deadline_ = request.received_at + limit;
+    deadline_ = request.started_at + limit;
 }
 
 task<> call::try_upstreams()
@@ -185,7 +185,7 @@
 task<> call::hedge()
 {
     hedged_ = true;
-    if (!is_repeatable(route_->kind)) {
+    if (!is_repeatable(route_->kind) || !exchange_->request().body->complete()) {
         co_return;
     }
     const auto verdict = judge_repeat();
@@ -243,6 +243,9 @@
     if (runs_ > 0 && !is_repeatable(route_->kind)) {
         return repeat_verdict::may_have_run;
     }
+    if (!exchange_->request().body->replayable()) {
+        return repeat_verdict::body_discarded;
+    }
     if (sends_ >= std::max(route_->max_attempts, 1) || tried_.size() >= max_upstreams_tried) {
         return repeat_verdict::most_sends;
     }
--- a/src/call_attempt.cpp
+++ b/src/call_attempt.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds connect_timeout{300};
 /** A connection that carried an answer this recently is assumed to work. */
 constexpr milliseconds proven_max_age{50};
+/** Bytes of a body passed to a connection at once. */
+constexpr std::size_t max_piece = 16'384;
 /** Interval between checks whether the caller has read the data sent so far. */
 constexpr milliseconds backlog_poll_interval{2};
 
@@ -92,8 +94,9 @@
     if (cancelled_ || !context_.registry.usable(*picked_.target)) {
         co_return cancelled_ ? attempt_end::cancelled : attempt_end::not_sent;
     }
-    connection_->send(request_bytes(), params_.exchange->request().head.method == "HEAD");
+    connection_->send(request_head(), params_.exchange->request().head.method == "HEAD");
     sent_ = true;
+    start_task(context_.io.get_executor(), send_body(shared_from_this()));
     const auto end = co_await read_answer();
     sent_ = connection_->sent();
     if (end == attempt_end::broken && !sent_) {
@@ -103,7 +106,8 @@
     co_return end == attempt_end::broken&& cancelled_ ? attempt_end::cancelled : end;
 }
 
-std::string call_attempt::request_bytes() const
+/** The head of the request, followed by the body if that is complete and short. */
+std::string call_attempt::request_head()
 {
     const auto& request = params_.exchange->request();
     const auto& dialect = context_.dialect;
@@ -119,14 +123,78 @@
     append_header(bytes, dialect.deadline_ms,
                   std::to_string(std::max<std::int64_t>(left.count(), 1)));
     append_header(bytes, dialect.expected_upstream, picked_.target->entry.id);
-    if (request.head.framing != body_framing::none || !request.body.empty()) {
-        append_header(bytes, "Content-Length", std::to_string(request.body.size()));
+    const auto& body = *request.body;
+    chunked_body_ = !body.complete() && request.head.framing != body_framing::length;
+    if (chunked_body_) {
+        append_header(bytes, "Transfer-Encoding", "chunked");
+    }
+    else if (request.head.framing != body_framing::none) {
+        append_header(bytes, "Content-Length",
+                      std::to_string(body.complete() ? body.received() : request.head.body_length));
     }
     bytes += "\r\n";
-    bytes += request.body;
+    if (body.complete() && body.received() <= max_piece) {
+        bytes += body.from(0);
+        body_sent_ = true;
+    }
     return bytes;
 }
 
+/** Sends the body on while it arrives, no faster than the upstream reads. */
+task<> call_attempt::send_body(std::shared_ptr<call_attempt> self)
+{
+    if (!self->body_sent_) {
+        co_await self->send_body_pieces();
+    }
+}
+
+task<> call_attempt::send_body_pieces()
+{
+    const auto body = params_.exchange->request().body;
+    const auto connection = connection_;
+    body_received_ = std::make_shared<async_signal>(context_.io.get_executor());
+    body->on_received([signal = body_received_] { signal->notify(); });
+    std::size_t sent = 0;
+    const auto active = [&] { return !end_ && !cancelled_ && connection->is_open(); };
+    while (active()) {
+        if (!connection->flushed()) {
+            co_await sleep_for(backlog_poll_interval);
+            continue;
+        }
+        const auto piece = body->from(sent).substr(0, max_piece);
+        if (!piece.empty()) {
+            send_piece(piece);
+            sent += piece.size();
+            body->release(sent);
+            continue;
+        }
+        if (body->complete()) {
+            if (chunked_body_) {
+                connection->send_more(last_chunk);
+            }
+            body_sent_ = true;
+            break;
+        }
+        co_await body_received_->wait_for(params_.deadline - boot_clock::now());
+        if (boot_clock::now() >= params_.deadline) {
+            break;
+        }
+    }
+    body->on_received(nullptr);
+}
+
+void call_attempt::send_piece(std::string_view piece)
+{
+    if (!chunked_body_) {
+        connection_->send_more(piece);
+        return;
+    }
+    auto bytes = chunk_size_line(piece.size());
+    bytes += piece;
+    bytes += chunk_suffix;
+    connection_->send_more(bytes);
+}
+
 task<attempt_end> call_attempt::read_answer()
 {
     auto progress = co_await connection_->read_head(context_.dialect.attempt_id, params_.id);
@@ -235,7 +303,8 @@
     const bool connection_intact = end == attempt_end::answered ||
                                    end == attempt_end::not_executed ||
                                    end == attempt_end::misdirected || end == attempt_end::streamed;
-    if (connection_ && connection_intact) {
+    // The rest of a body must not reach the connection's next request.
+    if (connection_ && connection_intact && body_sent_) {
         context_.pool.put_back(target, connection_, now);
     }
     else if (connection_) {
--- a/src/call_attempt.hpp
+++ b/src/call_attempt.hpp
@@ -53,10 +53,13 @@
     void take_idle_connection();
     task<attempt_end> exchange_messages();
     task<attempt_end> read_answer();
+    static task<> send_body(std::shared_ptr<call_attempt> self);
+    task<> send_body_pieces();
+    void send_piece(std::string_view piece);
     task<> skip_unused_body(read_progress progress);
     task<attempt_end> stream_answer();
     attempt_end classify_head();
-    std::string request_bytes() const;
+    std::string request_head();
     void finish_attempt(attempt_end end);
 
     call_context& context_;
@@ -69,6 +72,11 @@
     local_time started_;
     std::optional<attempt_end> end_;
     bool sent_ = false;
+    /** The body is sent in chunks, as its length was not known when the head was sent. */
+    bool chunked_body_ = false;
+    /** The last byte of the body was passed to the connection. */
+    bool body_sent_ = false;
+    std::shared_ptr<async_signal> body_received_;
     /** answer_ holds the head of the upstream's answer. */
     bool head_accepted_ = false;
     bool cancelled_ = false;
--- a/src/call_type.hpp
+++ b/src/call_type.hpp
@@ -86,6 +86,8 @@
     most_sends,
     /** Too little time is left before the deadline. */
     no_time,
+    /** Part of its body was sent on and discarded. */
+    body_discarded,
     /** It may have been executed already, and requests of its kind must not run twice. */
     may_have_run,
     /** The repeat budget of the service is exhausted. */
@@ -97,6 +99,7 @@
     enum_name<repeat_verdict>{repeat_verdict::allowed, "allowed"},
     enum_name<repeat_verdict>{repeat_verdict::most_sends, "most-sends"},
     enum_name<repeat_verdict>{repeat_verdict::no_time, "no-time"},
+    enum_name<repeat_verdict>{repeat_verdict::body_discarded, "body-discarded"},
     enum_name<repeat_verdict>{repeat_verdict::may_have_run, "may-have-run"},
     enum_name<repeat_verdict>{repeat_verdict::no_budget, "no-budget"},
 };
--- a/src/caller_exchange.hpp
+++ b/src/caller_exchange.hpp
@@ -3,6 +3,7 @@
 
 #include "clock_type.hpp"
 #include "http_type.hpp"
+#include "request_body.hpp"
 
 #include <functional>
 #include <memory>
@@ -13,11 +14,13 @@
 
 class caller_session;
 
-/** A complete request. */
+/** A request; its body may still be arriving. */
 struct caller_request {
     http_head head;
-    std::string body;
-    /** When the last byte of the request was read. */
+    body_ptr body;
+    /** When the last byte of the head was read. */
+    local_time started_at;
+    /** When the request was dispatched: its body was complete, or too large to wait for. */
     local_time received_at;
     /** Returns the Host header without the port; empty if there is none. */
     [[nodiscard]] std::string_view host() const
--- a/src/caller_session.cpp
+++ b/src/caller_session.cpp
@@ -26,11 +26,6 @@
 {
 }
 
-caller_session::~caller_session()
-{
-    shared_->buffered_body_bytes -= body_.size();
-}
-
 void caller_session::start()
 {
     wait_for_input();
@@ -42,6 +37,7 @@
         return;
     }
     stream_.close();
+    streaming_ = nullptr;
     for (const auto& exchange : std::exchange(exchanges_, {})) {
         exchange->abandoned_ = true;
         if (const auto handler = std::exchange(exchange->on_abandoned_, nullptr)) {
@@ -94,11 +90,11 @@
         return;
     }
     const std::string_view data{buffer.data(), size};
-    if (lingering_ || no_more_requests_) {
+    if (lingering_ || (no_more_requests_ && !streaming_)) {
         wait_for_input();
         return;
     }
-    if (exchanges_.size() >= max_pipelined_requests || !unparsed_.empty()) {
+    if (!may_parse() || !unparsed_.empty()) {
         unparsed_.append(data);
     }
     else {
@@ -111,23 +107,41 @@
     }
 }
 
-/** Parses and dispatches requests until the data ends or the pipelining limit is reached. */
+/** True if more input can be processed now. */
+bool caller_session::may_parse() const
+{
+    if (streaming_) {
+        return !body_->full();
+    }
+    return !no_more_requests_ && exchanges_.size() < max_pipelined_requests;
+}
+
+/** Parses input that was held back. */
+void caller_session::resume_parsing()
+{
+    if (!closed_ && !unparsed_.empty()) {
+        const auto data = std::exchange(unparsed_, {});
+        parse_requests(data);
+        wait_for_input();
+    }
+}
+
+/** Parses and dispatches requests until the data ends or a limit is reached. */
 void caller_session::parse_requests(std::string_view data)
 {
     const auto self = shared_from_this();
     try {
-        while (!data.empty() && !closed_ && !no_more_requests_ &&
-               exchanges_.size() < max_pipelined_requests) {
+        while (!data.empty() && !closed_ && may_parse()) {
             if (!parse_some(data)) {
                 return;
             }
         }
     }
     catch (const http_syntax_error& error) {
-        reject(error.status());
+        streaming_ ? reject_streaming(error.status()) : reject(error.status());
         return;
     }
-    if (!closed_ && !no_more_requests_) {
+    if (!closed_ && (streaming_ || !no_more_requests_)) {
         unparsed_.append(data);
     }
 }
@@ -145,12 +159,18 @@
     if (!std::exchange(head_checked_, true) && !accept_head()) {
         return false;
     }
-    if (!buffer_body()) {
+    if (!receive_body()) {
         return false;
     }
-    if (parser_.message_complete()) {
+    const bool complete = parser_.message_complete();
+    const bool large =
+        shared_->stream_threshold > 0 && body_->received() > shared_->stream_threshold;
+    if (!streaming_ && (complete || large)) {
         dispatch();
     }
+    if (complete) {
+        end_request();
+    }
     return true;
 }
 
@@ -161,7 +181,9 @@
         reject(http_status::payload_too_large);
         return false;
     }
-    deadline_ = boot_clock::now() + shared_->limits.idle_timeout;
+    body_ = std::make_shared<request_body>(shared_->bodies);
+    head_received_at_ = boot_clock::now();
+    deadline_ = head_received_at_ + shared_->limits.idle_timeout;
     const auto expectation = head.headers.find("expect");
     if (!expectation) {
         return true;
@@ -176,38 +198,80 @@
     return true;
 }
 
-bool caller_session::buffer_body()
+/** Adds received bytes to the body. @return false if the request was rejected. */
+bool caller_session::receive_body()
 {
+    const auto body = body_;
     for (const auto piece : parser_.body()) {
-        body_.append(piece);
-        shared_->buffered_body_bytes += piece.size();
+        body->append(piece);
     }
-    if (body_.size() > static_cast<std::size_t>(shared_->limits.max_body_bytes)) {
-        reject(http_status::payload_too_large);
+    return !closed_ && check_body_limits();
+}
+
+bool caller_session::check_body_limits()
+{
+    if (body_->received() > static_cast<std::size_t>(shared_->limits.max_body_bytes)) {
+        streaming_ ? reject_streaming(http_status::payload_too_large)
+                   : reject(http_status::payload_too_large);
         return false;
     }
-    if (shared_->max_body_memory > 0 && shared_->buffered_body_bytes > shared_->max_body_memory) {
+    // A body that is already sent on is bounded by its own buffer.
+    const bool memory_exhausted =
+        shared_->max_body_memory > 0 && shared_->bodies->bytes > shared_->max_body_memory;
+    if (memory_exhausted && !streaming_) {
         reject(http_status::unavailable);
         return false;
     }
     return true;
 }
 
-/** Passes a complete request to the handler. */
+/** Passes a request to the handler, whether its body is complete or not. */
 void caller_session::dispatch()
 {
-    shared_->buffered_body_bytes -= body_.size();
-    caller_request request{std::move(parser_.head()), std::move(body_), boot_clock::now()};
-    body_.clear();
-    head_checked_ = false;
-    parser_.reset();
+    const bool complete = parser_.message_complete();
+    caller_request request{std::move(parser_.head()), body_, head_received_at_, boot_clock::now()};
     const auto exchange = std::make_shared<caller_exchange>(shared_from_this(), std::move(request));
     exchange->closes_connection_ = !exchange->request().head.keep_alive;
     no_more_requests_ = no_more_requests_ || exchange->closes_connection_;
     exchanges_.push_back(exchange);
+    if (complete) {
+        body_->set_complete();
+    }
+    else {
+        streaming_ = exchange;
+        body_->on_room([weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->resume_parsing();
+            }
+        });
+    }
     shared_->handle(exchange);
 }
 
+/** Prepares for the next request once the last byte of this one was received. */
+void caller_session::end_request()
+{
+    const auto body = std::exchange(body_, nullptr);
+    streaming_ = nullptr;
+    head_checked_ = false;
+    parser_.reset();
+    if (body && !body->complete()) {
+        body->set_complete();
+    }
+}
+
+/** Ends a request that is already being sent on, since its body cannot be accepted. */
+void caller_session::reject_streaming(int status)
+{
+    const auto exchange = std::exchange(streaming_, nullptr);
+    if (const auto handler = std::exchange(exchange->on_abandoned_, nullptr)) {
+        handler();
+    }
+    no_more_requests_ = true;
+    exchange->closes_connection_ = true;
+    exchange->respond({status, {}, {}});
+}
+
 /** Responds to a request that cannot be accepted; the connection is closed after the response. */
 void caller_session::reject(int status)
 {
@@ -241,11 +305,7 @@
             return;
         }
     }
-    if (!closed_ && !unparsed_.empty()) {
-        const auto data = std::exchange(unparsed_, {});
-        parse_requests(data);
-        wait_for_input();
-    }
+    resume_parsing();
 }
 
 /** Shuts down the sending side after the last response and waits for the caller to close. */
@@ -253,6 +313,7 @@
 {
     no_more_requests_ = true;
     lingering_ = true;
+    streaming_ = nullptr;
     unparsed_.clear();
     deadline_ = boot_clock::now() + linger_timeout;
     if (stream_.flushed()) {
@@ -333,7 +394,9 @@
                                  std::uint64_t length)
 {
     head_written_ = true;
-    const bool should_close = closes_connection_ || session_->shared_->draining;
+    // The rest of a body that nothing reads any more would delay the next request.
+    const bool body_unread = request_.body && !request_.body->complete();
+    const bool should_close = closes_connection_ || session_->shared_->draining || body_unread;
     // Requests pipelined after this one still get responses, so only the last response may close
     // the connection.
     closes_connection_ = should_close && session_->exchanges_.back().get() == this;
--- a/src/caller_session.hpp
+++ b/src/caller_session.hpp
@@ -20,10 +20,12 @@
     /** Called with each complete request. */
     std::function<void(const exchange_ptr&)> handle;
     caller_limits limits;
-    /** Total bytes of request bodies that are still being received. */
-    std::size_t buffered_body_bytes = 0;
-    /** Limit on buffered_body_bytes; 0 disables it. */
+    /** Bytes of request bodies that are held. */
+    std::shared_ptr<body_memory> bodies = std::make_shared<body_memory>();
+    /** Limit on the bytes of bodies at which a new body is refused; 0 disables it. */
     std::size_t max_body_memory = 0;
+    /** A request with a larger body is dispatched before the body is complete; 0 if none is. */
+    std::size_t stream_threshold = 0;
     /** Connections are closed after the response to their last request in progress. */
     bool draining = false;
     /** Header that carries a request id; echoed in responses that the VM generates itself. */
@@ -37,7 +39,7 @@
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
     caller_session(net_stream stream, std::shared_ptr<session_context> shared);
-    ~caller_session();
+    ~caller_session() = default;
     caller_session(const caller_session&) = delete;
     caller_session& operator=(const caller_session&) = delete;
 
@@ -60,8 +62,13 @@
     void parse_requests(std::string_view data);
     bool parse_some(std::string_view& data);
     bool accept_head();
-    bool buffer_body();
+    bool receive_body();
+    bool check_body_limits();
     void dispatch();
+    void end_request();
+    [[nodiscard]] bool may_parse() const;
+    void resume_parsing();
+    void reject_streaming(int status);
     void reject(int status);
     void write_responses();
     void write(std::string_view bytes);
@@ -72,8 +79,13 @@
     /** Shared ownership, because a session may outlive its server. */
     std::shared_ptr<session_context> shared_;
     http_message_parser parser_;
-    std::string body_;
-    /** Received input, not yet parsed because the pipelining limit is reached. */
+    /** Body of the request that is being received; null before its head is complete. */
+    body_ptr body_;
+    local_time head_received_at_;
+    /** The request whose body is still being received although it was dispatched. */
+    exchange_ptr streaming_;
+    /** Received input, not yet parsed because the pipelining limit is reached or the body is full.
+     */
     std::string unparsed_;
     std::deque<exchange_ptr> exchanges_;
     local_time deadline_;
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -32,6 +32,9 @@
 constexpr milliseconds settle_time{2500};
 /** Interval at which a VM that knows no other VM searches the store for the fleet. */
 constexpr seconds discovery_period{5};
+/** A request with a larger body is sent on before its body is complete. A shorter one costs less
+ * memory than the slot that it would hold at an upstream while it arrives. */
+constexpr std::size_t stream_threshold = 65'536;
 /** Connection limit of each page server; callers query the directory over short-lived
  * connections. */
 constexpr std::size_t max_page_connections = 1000;
@@ -98,6 +101,7 @@
             start_task(io.get_executor(), call::run(std::make_shared<call>(calls, exchange)));
         };
         context.max_body_memory = static_cast<std::size_t>(settings.body_memory);
+        context.stream_threshold = stream_threshold;
         context.id_header = adapter.dialect.attempt_id;
         return context;
     }
@@ -167,8 +171,8 @@
             return;
         }
         // What was read may be stale; another VM tells whether it is, or a fresh read replaces it.
-        const bool knows_newest = sync.role() != store_role::follower ||
-                                  members.alive(boot_clock::now()).size() > 1;
+        const bool knows_newest =
+            sync.role() != store_role::follower || members.alive(boot_clock::now()).size() > 1;
         if (knows_newest && sync.up_to_date() && routes.table()) {
             members.set_state(member_state::ready);
         }
@@ -376,6 +380,11 @@
                       "Since the store last answered about a kind", silence.count(),
                       {{"kind", kind}});
         });
+        const auto& bodies = *callers.shared().bodies;
+        set_gauge("sniperock_body_bytes", "Bytes of request bodies held",
+                  static_cast<double>(bodies.bytes));
+        set_gauge("sniperock_body_bytes_peak", "Most bytes of request bodies held at a time",
+                  static_cast<double>(bodies.peak_bytes));
         set_gauge("sniperock_members", "VMs known", static_cast<double>(alive.size()),
                   {{"state", "alive"}});
         set_gauge("sniperock_members", "VMs known", static_cast<double>(ready),
--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -52,6 +52,14 @@
     flush();
 }
 
+void http_connection::send_more(std::string_view bytes)
+{
+    asio::error_code error;
+    stream_.write({&bytes, 1}, error);
+    // A failed connection is noticed where the response is read.
+    flush();
+}
+
 /** Writes unsent bytes whenever the socket becomes writable. */
 void http_connection::flush()
 {
--- a/src/http_connection.hpp
+++ b/src/http_connection.hpp
@@ -34,6 +34,10 @@
     /** Sends a request; bytes that the socket does not accept at once are sent in the background.
      */
     void send(std::string_view bytes, bool head_request);
+    /** Sends further bytes of the request, such as its body. */
+    void send_more(std::string_view bytes);
+    /** True if the socket has accepted all bytes sent so far. */
+    [[nodiscard]] bool flushed() const { return stream_.flushed(); }
     /**
      * Reads up to the end of the head of the final response to the last request.
      * @param attempt_header response header that echoes the request's attempt id.
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -61,10 +61,11 @@
                      "id service first ms upstream busy slots slowness cold report_age_ms",
                      "The first upstream had not answered for ms; the request was also sent to "
                      "another upstream, chosen by the fields from busy on."},
-    event_descriptor{event::repeat_denied, event_level::info, "calls", "repeat_denied",
-                     "id service reason",
-                     "The request was not sent again: it was sent to as many upstreams as allowed, "
-                     "no time is left, it may have run, or the retry budget is exhausted."},
+    event_descriptor{
+        event::repeat_denied, event_level::info, "calls", "repeat_denied", "id service reason",
+        "The request was not sent again: it was sent to as many upstreams as allowed, "
+        "no time is left, it may have run, part of its body is gone, or the retry budget is "
+        "exhausted."},
     // 3xx: upstreams.
     event_descriptor{event::upstream_silent, event_level::info, "upstreams", "upstream_silent",
                      "upstream service",
