Fix: A VM that the store turned away asks again at once, not after its idle interval

From the log of front-ne-b-5: its probe was answered 429 at 17.1, the store served it again from 20.0 on, the next probe came at 25.0. Since followers probe at a fifth of the rate, a failed probe was repeated only when their idle interval of 10 s had passed. Change: the interval applies only while the store answers. Tests: a requested probe that fails is repeated at once (store_liveness_probe_test), red before.

--- a/src/store_liveness_probe.hpp
+++ b/src/store_liveness_probe.hpp
@@ -56,7 +56,7 @@
         for (;;) {
             const auto due = health_.last_answer_at() + timing_.idle_interval;
             const auto now = boot_clock::now();
-            if (now < due && !requested_) {
+            if (now < due && !requested_ && health_.is_answering()) {
                 co_await wake_up_.wait_for(due - now);
                 continue;
             }
--- a/src/tests/store_liveness_probe_test.cpp
+++ b/src/tests/store_liveness_probe_test.cpp
@@ -91,6 +91,22 @@
     CHECK(setup.store.all_lists_stale);
 }
 
+// Guards against a VM with a long idle interval that waits for it during an outage that it has
+// already noticed.
+TEST_CASE("a probe that was requested and failed is repeated at once, not after the idle interval")
+{
+    probe_fixture setup;
+    setup.probe.set_idle_interval(seconds{60});
+    start_task(setup.io.get_executor(), setup.probe.run());
+    setup.store.current_mode = probed_store::store_mode::refusing;
+    setup.probe.request();
+    setup.run_for(milliseconds{100});
+    CHECK_FALSE(setup.health.is_answering());
+    setup.store.current_mode = probed_store::store_mode::answering;
+    setup.run_for(milliseconds{100});
+    CHECK(setup.health.is_answering());
+}
+
 TEST_CASE("a store that was heard from within the idle interval is not probed")
 {
     probe_fixture setup;
