--- a/src/load_caller.cpp
+++ b/src/load_caller.cpp
@@ -13,9 +13,9 @@
     append_header(bytes, dialect.attempt_id, request.id);
     append_header(bytes, dialect.deadline_ms, std::to_string(request.deadline.count()));
     if (request.method == "POST") {
-        append_header(bytes, "Content-Length", "0");
+        append_header(bytes, "Content-Length", std::to_string(request.body.size()));
     }
-    return bytes + "\r\n";
+    return bytes + "\r\n" + request.body;
 }
 
 task<read_progress> send_and_receive(std::shared_ptr<http_connection> connection, std::string bytes,
--- a/src/load_caller.hpp
+++ b/src/load_caller.hpp
@@ -14,13 +14,15 @@
 
 namespace sniperock {
 
-/** A request without a body. */
+/** A request of a load generator. */
 struct load_request {
     std::string method = "GET";
     std::string target;
     std::string host;
     std::string id;
     milliseconds deadline{0};
+    /** Sent by POST requests only. */
+    std::string body;
 };
 
 /** Serializes a request. */
