Change: Heartbeats carry short updates of random VMs instead of the newest entries

Cause: in a fleet of 470 VMs three of four were taken for dead at any moment, a third of them at 130 (worked out by a simulation of the rounds): each heartbeat carried the 40 entries updated last, the same for all receivers. Directory answers left VMs out, and VMs that saw too few others became announcers. Change: an update (address, incarnation, sequence, state) of up to 160 random VMs that were updated within two rounds, a third of an entry's size; full entries only of VMs known for under 3 s, or asked for by a receiver that does not know the incarnation. Two of three heartbeats stay in the failure domain. The silence timeout grows with fleets of over 100 VMs (3.4 s at 470; the limit for directories is 6 s). A VM of an earlier release reads the entries and ignores the updates: during the update of a fleet it learns of others directly.

--- a/src/member_gossip.cpp
+++ b/src/member_gossip.cpp
@@ -16,8 +16,12 @@
 
 /** VMs that receive a heartbeat each period; three spread a change to 100 VMs in five periods. */
 constexpr std::size_t fanout = 3;
-/** Maximum number of other VMs whose entries a heartbeat carries, so that it fits a few packets. */
-constexpr std::size_t max_digest_entries = 40;
+/** Maximum number of VMs in a heartbeat whose entries it carries, or asks for, and of those that it
+ * carries an update of; a heartbeat so fits a few packets. A VM receives six heartbeats a second:
+ * the updates of 500 VMs, twice a second each. */
+constexpr std::size_t max_new_entries = 10;
+constexpr std::size_t max_wanted_entries = 60;
+constexpr std::size_t max_updates = 160;
 /** Version of the wire format; datagrams of other versions are dropped. */
 constexpr unsigned format_version = 1;
 /** With fewer VMs alive than this, heartbeats are also sent to the seeds each period. */
@@ -28,15 +32,57 @@
 /** Fields that every release sends; an earlier release sends and reads only these two. */
 using wire_heartbeat = std::tuple<unsigned, std::vector<wire_entry>>;
 using wire_revisions = std::array<std::uint64_t, std::tuple_size_v<kind_revisions>>;
-/** Index in the message array of the sender's revisions, and of whether the store answers it. */
+/** Indices in the message array of the fields that earlier releases do not send. */
 constexpr std::size_t revisions_index = 2;
 constexpr std::size_t store_answers_index = 3;
+constexpr std::size_t updates_index = 4;
+constexpr std::size_t wanted_index = 5;
+using wire_update = std::tuple<std::uint32_t, std::uint64_t, std::uint64_t, std::uint8_t>;
 
 /** Limits on a decoded heartbeat, so that lengths in corrupt bytes do not cause allocations. */
 const msgpack::unpack_limit unpack_limits{
     /* array */ 1024, /* map */ 0, /* string */ 1024,
     /* bin */ 0,      /* ext */ 0, /* depth */ 4};
 
+/** An IPv4 address as a number; 0 if it is none. */
+std::uint32_t to_number(const std::string& address)
+{
+    asio::error_code error;
+    const auto parsed = asio::ip::make_address_v4(address, error);
+    return error ? 0 : parsed.to_uint();
+}
+
+std::string to_address(std::uint32_t number)
+{
+    return asio::ip::make_address_v4(number).to_string();
+}
+
+bool is_state(std::uint8_t value)
+{
+    return value <= static_cast<std::uint8_t>(member_state::leaving);
+}
+
+/** Reads the fields that follow the sender's revisions. @throws msgpack::type_error */
+void decode_later_fields(const msgpack::object_array& fields, heartbeat& decoded)
+{
+    if (fields.size > store_answers_index) {
+        decoded.store_answers = fields.ptr[store_answers_index].as<bool>();
+    }
+    if (fields.size > updates_index) {
+        for (const auto& [address, id, sequence, state] :
+             fields.ptr[updates_index].as<std::vector<wire_update>>()) {
+            if (is_state(state)) {
+                decoded.updates.push_back(
+                    {to_address(address), {id}, sequence, static_cast<member_state>(state)});
+            }
+        }
+    }
+    if (fields.size > wanted_index) {
+        const auto wanted = fields.ptr[wanted_index].as<std::vector<std::uint32_t>>();
+        std::ranges::transform(wanted, std::back_inserter(decoded.wanted), to_address);
+    }
+}
+
 } // namespace
 
 std::string encode_heartbeat(const heartbeat& message)
@@ -55,7 +101,15 @@
     wire_revisions revisions{};
     std::ranges::transform(message.revisions, revisions.begin(), &store_revision::value);
     msgpack::sbuffer buffer;
-    msgpack::pack(buffer, std::tuple{format_version, entries, revisions, message.store_answers});
+    std::vector<wire_update> updates;
+    for (const auto& update : message.updates) {
+        updates.emplace_back(to_number(update.address), update.incarnation_id.value,
+                             update.sequence, static_cast<std::uint8_t>(update.state));
+    }
+    std::vector<std::uint32_t> wanted;
+    std::ranges::transform(message.wanted, std::back_inserter(wanted), to_number);
+    msgpack::pack(buffer, std::tuple{format_version, entries, revisions, message.store_answers,
+                                     updates, wanted});
     return {buffer.data(), buffer.size()};
 }
 
@@ -71,7 +125,7 @@
         }
         heartbeat decoded;
         for (const auto& [address, port, name, domain, incarnation_id, sequence, state] : wire) {
-            if (state > static_cast<std::uint8_t>(member_state::leaving)) {
+            if (!is_state(state)) {
                 return std::nullopt;
             }
             decoded.entries.push_back({address,
@@ -87,9 +141,7 @@
             std::ranges::transform(revisions, decoded.revisions.begin(),
                                    [](std::uint64_t value) { return store_revision{value}; });
         }
-        if (message.via.array.size > store_answers_index) {
-            decoded.store_answers = message.via.array.ptr[store_answers_index].as<bool>();
-        }
+        decode_later_fields(message.via.array, decoded);
         return decoded;
     }
     catch (const std::exception&) {
@@ -106,10 +158,16 @@
 {
 }
 
-std::string member_gossip::encode(std::size_t max_entries, local_time now) const
+heartbeat member_gossip::make_heartbeat(std::vector<member_entry> entries) const
 {
-    return encode_heartbeat({table_.digest(max_entries, now), revisions_.local_revisions(),
-                             callbacks_.store_answers()});
+    return {std::move(entries), revisions_.local_revisions(), callbacks_.store_answers()};
+}
+
+std::string member_gossip::encode_known(local_time now) const
+{
+    auto message = make_heartbeat(table_.new_entries(max_new_entries, now));
+    message.updates = table_.updates(max_updates, random_, now);
+    return encode_heartbeat(message);
 }
 
 void member_gossip::open(const std::string& address, std::uint16_t port)
@@ -129,7 +187,7 @@
 void member_gossip::send_heartbeat_to(const std::string& address)
 {
     if (address != table_.self().address) {
-        encoded_ = encode(max_digest_entries, boot_clock::now());
+        encoded_ = encode_known(boot_clock::now());
         send_encoded(address);
     }
 }
@@ -138,7 +196,7 @@
 {
     const auto now = boot_clock::now();
     table_.advance_heartbeat();
-    encoded_ = encode(0, now);
+    encoded_ = encode_heartbeat(make_heartbeat(table_.new_entries(0, now)));
     for (const auto& member : table_.alive(now)) {
         if (member.address != table_.self().address) {
             send_encoded(member.address);
@@ -164,7 +222,7 @@
     for (;;) {
         const auto now = boot_clock::now();
         table_.advance_heartbeat();
-        encoded_ = encode(max_digest_entries, now);
+        encoded_ = encode_known(now);
         for (const auto& address : table_.pick_targets(fanout, random_, now)) {
             send_encoded(address);
         }
@@ -203,16 +261,33 @@
                       {{"peer", from.address().to_string()}, {"reason", "malformed"}});
             continue;
         }
-        const auto now = boot_clock::now();
-        revisions_.record_remote(received->revisions, now);
-        if (!received->store_answers) {
-            callbacks_.on_store_outage();
-        }
-        const bool has_new_member = table_.merge(received->entries, now);
-        if (has_new_member) {
-            // A new VM learns the fleet without waiting for the next period.
-            send_heartbeat_to(from.address().to_string());
-        }
+        handle_heartbeat(*received, from.address().to_string());
+    }
+}
+
+void member_gossip::handle_heartbeat(const heartbeat& received, const std::string& sender)
+{
+    const auto now = boot_clock::now();
+    revisions_.record_remote(received.revisions, now);
+    if (!received.store_answers) {
+        callbacks_.on_store_outage();
+    }
+    const bool has_new_member = table_.merge(received.entries, now);
+    auto unknown = table_.merge_updates(received.updates, now);
+    if (!unknown.empty()) {
+        unknown.resize(std::min(unknown.size(), max_wanted_entries));
+        auto request = make_heartbeat(table_.entries_of({}));
+        request.wanted = std::move(unknown);
+        encoded_ = encode_heartbeat(request);
+        send_encoded(sender);
+    }
+    if (!received.wanted.empty()) {
+        encoded_ = encode_heartbeat(make_heartbeat(table_.entries_of(received.wanted)));
+        send_encoded(sender);
+    }
+    if (has_new_member) {
+        // A new VM learns the fleet without waiting for the next period.
+        send_heartbeat_to(sender);
     }
 }
 
--- a/src/member_gossip.hpp
+++ b/src/member_gossip.hpp
@@ -24,6 +24,10 @@
     kind_revisions revisions{};
     /** False if the store does not answer the sender. */
     bool store_answers = true;
+    /** Newer states of VMs that the receiver is expected to know. */
+    std::vector<member_update> updates{};
+    /** Addresses of VMs whose entries the sender asks for. */
+    std::vector<std::string> wanted{};
 };
 
 /** Encodes a heartbeat for the wire. */
@@ -65,8 +69,11 @@
     static constexpr std::size_t max_datagram = 65'536;
 
     void send_encoded(const std::string& address);
-    /** A heartbeat with up to @p max_entries other VMs. */
-    std::string encode(std::size_t max_entries, local_time now) const;
+    /** A heartbeat that carries @p entries. */
+    [[nodiscard]] heartbeat make_heartbeat(std::vector<member_entry> entries) const;
+    /** A heartbeat with what this VM knows of others. */
+    [[nodiscard]] std::string encode_known(local_time now) const;
+    void handle_heartbeat(const heartbeat& received, const std::string& sender);
 
     member_table& table_;
     store_revision_tracker& revisions_;
--- a/src/member_table.hpp
+++ b/src/member_table.hpp
@@ -47,6 +47,14 @@
     member_state state = member_state::starting;
 };
 
+/** A newer state of a VM whose entry the receiver has; a third of the size of an entry. */
+struct member_update {
+    std::string address;
+    incarnation incarnation_id;
+    std::uint64_t sequence = 0;
+    member_state state = member_state::starting;
+};
+
 /**
  * Membership table with failure detection. A VM is identified by its address. Of two entries, the
  * one with the higher incarnation wins, and within an incarnation the one with the higher sequence
@@ -56,7 +64,8 @@
  */
 class member_table {
 public:
-    /** @param silence_timeout time without a higher sequence number after which a VM is dead. */
+    /** @param silence_timeout time without a higher sequence number after which a VM of a small
+     * fleet is dead. */
     member_table(member_entry self, milliseconds silence_timeout);
 
     [[nodiscard]] const member_entry& self() const { return self_; }
@@ -66,11 +75,22 @@
     void advance_heartbeat() { ++self_.sequence; }
     /** Merges the entries of a heartbeat. @return true if a VM or an incarnation was unknown. */
     bool merge(const std::vector<member_entry>& entries, local_time now);
-    /** Entries for a heartbeat: this VM, then up to @p max_entries other VMs that are alive, most
-     * recently updated first. */
-    [[nodiscard]] std::vector<member_entry> digest(std::size_t max_entries, local_time now) const;
-    /** Addresses to send a heartbeat to: up to @p count random VMs that are alive, and sometimes a
-     * dead one. */
+    /** Applies updates of VMs whose incarnation is known. @return the addresses of the others. */
+    std::vector<std::string> merge_updates(const std::vector<member_update>& updates,
+                                           local_time now);
+    /** Entries for a heartbeat: this VM, then up to @p max_entries VMs that became known most
+     * recently, as their entries have not reached all others yet. */
+    [[nodiscard]] std::vector<member_entry> new_entries(std::size_t max_entries,
+                                                        local_time now) const;
+    /** Up to @p max_updates random VMs that were updated recently. Always the newest ones would be
+     * the same for all receivers, and most VMs of a large fleet would reach few others. */
+    [[nodiscard]] std::vector<member_update> updates(std::size_t max_updates, random_engine& random,
+                                                     local_time now) const;
+    /** This VM's entry and those of the VMs at @p addresses, as far as they are known. */
+    [[nodiscard]] std::vector<member_entry>
+    entries_of(const std::vector<std::string>& addresses) const;
+    /** Addresses to send a heartbeat to: up to @p count random VMs that are alive, all but one of
+     * them in this VM's failure domain if it has enough, and sometimes a dead one. */
     [[nodiscard]] std::vector<std::string> pick_targets(std::size_t count, random_engine& random,
                                                         local_time now) const;
     /** Entries of all VMs that are alive, including this one. */
@@ -84,12 +104,16 @@
         member_entry entry;
         /** When the entry was added or last replaced. */
         local_time updated_at;
+        /** When this incarnation became known. */
+        local_time known_since;
     };
 
     [[nodiscard]] bool is_alive(const record& item, local_time now) const
     {
-        return now - item.updated_at < silence_timeout_;
+        return now - item.updated_at < silence_limit();
     }
+    /** Time after which a silent VM is dead; longer in a large fleet, where news takes longer. */
+    [[nodiscard]] nanoseconds silence_limit() const;
     [[nodiscard]] bool supersedes(const member_entry& entry, const record& known,
                                   local_time now) const;
 
