Fix: A planned stop answers requests on connections that were just accepted

Cause: a leaving VM closed each connection without a request at every tick of 100 ms, also those whose first request was on its way, and closed the listening socket over connections that waited on it; a response that was written but not yet accepted by the socket did not count as unfinished. Change: a connection counts as busy for 250 ms until its first request, while a request is being received, and until its response is flushed; waiting connections are accepted before the listening socket closes.

--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -79,13 +79,26 @@
 
 void caller_server::stop_accepting()
 {
+    if (!acceptor_.is_open()) {
+        return;
+    }
+    asio::error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+        tcp_socket socket(io_.get_executor());
+        acceptor_.accept(socket, error);
+        if (!error) {
+            start_session(std::move(socket));
+        }
+    }
+    // Ends with would_block once no connection waits.
     asio::error_code ignored;
     acceptor_.close(ignored);
 }
 
-void caller_server::close_idle()
+void caller_server::close_idle(local_time now)
 {
-    std::ranges::for_each(sessions_, [](const auto& session) { session->close_if_idle(); });
+    std::ranges::for_each(sessions_, [now](const auto& session) { session->close_if_idle(now); });
 }
 
 void caller_server::close_all()
@@ -102,10 +115,10 @@
     std::erase_if(sessions_, [](const auto& session) { return session->closed(); });
 }
 
-std::size_t caller_server::busy() const
+std::size_t caller_server::busy(local_time now) const
 {
     return static_cast<std::size_t>(
-        std::ranges::count_if(sessions_, [](const auto& session) { return session->busy(); }));
+        std::ranges::count_if(sessions_, [now](const auto& item) { return item->busy(now); }));
 }
 
 } // namespace sniperock
--- a/src/caller_server.hpp
+++ b/src/caller_server.hpp
@@ -26,16 +26,17 @@
     [[nodiscard]] std::uint16_t port() const { return port_; }
     /** State shared by all sessions; may be changed at any time. */
     [[nodiscard]] session_context& shared() { return *shared_; }
-    /** Closes the listening socket; open connections stay. */
+    /** Closes the listening socket, after accepting the connections that wait on it; open
+     * connections stay. */
     void stop_accepting();
-    /** Closes connections without a request in progress. */
-    void close_idle();
+    /** Closes connections on which nothing is in progress. */
+    void close_idle(local_time now);
     void close_all();
     /** Closes connections past their deadline and removes closed sessions. */
     void close_expired(local_time now);
     [[nodiscard]] std::size_t connections() const { return sessions_.size(); }
-    /** Number of connections with a request whose response is not yet written. */
-    [[nodiscard]] std::size_t busy() const;
+    /** Number of connections on which something is in progress. */
+    [[nodiscard]] std::size_t busy(local_time now) const;
 
 private:
     void accept_next();
--- a/src/caller_session.cpp
+++ b/src/caller_session.cpp
@@ -13,6 +13,8 @@
 
 /** Maximum number of requests of one connection that are processed concurrently. */
 constexpr std::size_t max_pipelined_requests = 16;
+/** Time within which the first request of a new connection arrives, unless a packet was lost. */
+constexpr milliseconds first_request_time{250};
 /** Time that a closing connection waits for the caller to close its side. */
 constexpr milliseconds linger_timeout{1000};
 
@@ -22,7 +24,7 @@
     : stream_(std::move(stream)), shared_(std::move(shared)),
       parser_(http_message_kind::request,
               static_cast<std::size_t>(shared_->limits.max_header_bytes)),
-      deadline_(boot_clock::now() + shared_->limits.idle_timeout)
+      deadline_(boot_clock::now() + shared_->limits.idle_timeout), accepted_at_(boot_clock::now())
 {
 }
 
@@ -58,9 +60,20 @@
     close();
 }
 
-void caller_session::close_if_idle()
+bool caller_session::busy(local_time now) const
 {
-    if (exchanges_.empty() && !parser_.started() && unparsed_.empty() && stream_.flushed()) {
+    if (closed_) {
+        return false;
+    }
+    const bool first_request_due = !had_request_ && now - accepted_at_ < first_request_time;
+    // A connection that lingers has delivered its last response once that is flushed.
+    const bool receiving = !lingering_ && (parser_.started() || !unparsed_.empty());
+    return !exchanges_.empty() || !stream_.flushed() || receiving || first_request_due;
+}
+
+void caller_session::close_if_idle(local_time now)
+{
+    if (!lingering_ && !busy(now)) {
         close();
     }
 }
@@ -232,6 +245,7 @@
     caller_request request{std::move(parser_.head()), body_, head_received_at_, boot_clock::now()};
     const auto exchange = std::make_shared<caller_exchange>(shared_from_this(), std::move(request));
     exchange->closes_connection_ = !exchange->request().head.keep_alive;
+    had_request_ = true;
     no_more_requests_ = no_more_requests_ || exchange->closes_connection_;
     exchanges_.push_back(exchange);
     if (complete) {
--- a/src/caller_session.hpp
+++ b/src/caller_session.hpp
@@ -49,10 +49,11 @@
     void close();
     /** Closes the connection if its deadline has passed; answers an incomplete request with 408. */
     void close_if_expired(local_time now);
-    /** Closes the connection if no request is in progress and all output is flushed. */
-    void close_if_idle();
+    /** Closes the connection if nothing is in progress on it. */
+    void close_if_idle(local_time now);
     [[nodiscard]] bool closed() const { return closed_; }
-    [[nodiscard]] bool busy() const { return !exchanges_.empty(); }
+    /** True if a request or its response is incomplete, or the first request may be on its way. */
+    [[nodiscard]] bool busy(local_time now) const;
 
 private:
     friend class caller_exchange;
@@ -89,6 +90,9 @@
     std::string unparsed_;
     std::deque<exchange_ptr> exchanges_;
     local_time deadline_;
+    local_time accepted_at_;
+    /** A request has been received completely, or enough of it to dispatch it. */
+    bool had_request_ = false;
     bool head_checked_ = false;
     bool waiting_for_input_ = false;
     bool flushing_ = false;
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -300,25 +300,26 @@
         members.set_state(member_state::leaving);
         drain_start = boot_clock::now();
         callers.shared().draining = true;
-        callers.close_idle();
+        callers.close_idle(drain_start);
         gossip.broadcast_self();
         log_event(event::entry_leaving, {{"connections", std::to_string(callers.connections())},
-                                         {"busy", std::to_string(callers.busy())}});
+                                         {"busy", std::to_string(callers.busy(drain_start))}});
     }
 
     /** Continues the shutdown. @return true if the process can exit. */
     bool advance_drain(local_time now)
     {
-        callers.close_idle();
-        const auto phase = drain_phase_at(now - drain_start, settings.stop_grace, callers.busy());
-        if (phase == drain_phase::accepting) {
+        callers.close_idle(now);
+        const auto elapsed = now - drain_start;
+        if (drain_phase_at(elapsed, settings.stop_grace, 0) == drain_phase::accepting) {
             return false;
         }
         callers.stop_accepting();
-        if (phase == drain_phase::finishing) {
+        const auto busy = callers.busy(now);
+        if (drain_phase_at(elapsed, settings.stop_grace, busy) == drain_phase::finishing) {
             return false;
         }
-        log_event(event::entry_stopped, {{"cut_off", std::to_string(callers.busy())}});
+        log_event(event::entry_stopped, {{"cut_off", std::to_string(busy)}});
         return true;
     }
 
