--- a/src/member_gossip.cpp
+++ b/src/member_gossip.cpp
@@ -102,6 +102,7 @@
     std::ranges::transform(message.revisions, revisions.begin(), &store_revision::value);
     msgpack::sbuffer buffer;
     std::vector<wire_update> updates;
+    updates.reserve(message.updates.size());
     for (const auto& update : message.updates) {
         updates.emplace_back(to_number(update.address), update.incarnation_id.value,
                              update.sequence, static_cast<std::uint8_t>(update.state));
--- a/src/tests/store_role_test.cpp
+++ b/src/tests/store_role_test.cpp
@@ -15,6 +15,7 @@
 std::vector<member_entry> make_fleet(int vms, int domains)
 {
     std::vector<member_entry> fleet;
+    fleet.reserve(static_cast<std::size_t>(vms));
     for (int i = 0; i < vms; ++i) {
         fleet.push_back({"10.0.0." + std::to_string(i),
                          70,
