Fix: A wrong report of another VM does not keep a VM from becoming ready

Cause: found by reading the change. A VM that starts waits until it has every revision that others have reported; one that the store does not have would have kept it waiting for ever. Change: a report older than the last fresh answer, and not confirmed by it, no longer counts. Tests: store_sync_test (a revision unknown to the store), red before.

--- a/src/store_watcher.hpp
+++ b/src/store_watcher.hpp
@@ -130,8 +130,9 @@
     /** A listing was applied, and no other VM has reported a change that this VM lacks. */
     [[nodiscard]] bool up_to_date() const
     {
-        return synced_ && !catching_up_ &&
-               !revisions_.first_reported_after(kind_id_, last_revision_);
+        const auto reported_at = revisions_.first_reported_after(kind_id_, last_revision_);
+        // A report that a later fresh answer does not confirm is wrong.
+        return synced_ && !catching_up_ && (!reported_at || *reported_at < verified_at_);
     }
     /** The kind's name in the store. */
     [[nodiscard]] const std::string& kind() const { return kind_; }
@@ -244,6 +245,7 @@
     void end_catch_up()
     {
         constexpr seconds wrong_report_pause{5};
+        verified_at_ = call_began_;
         if (catching_up_ && revisions_.first_reported_after(kind_id_, last_revision_)) {
             next_catch_up_ = boot_clock::now() + wrong_report_pause;
         }
@@ -385,6 +387,8 @@
     bool cancelled_ = false;
     /** The next watch is fresh and immediate. */
     bool catching_up_ = false;
+    /** Start of the last call that was answered with the store's current state. */
+    local_time verified_at_;
     /** No earlier time for the next watch that replaces a pending one. */
     local_time next_catch_up_;
     /** Newest revision announced by this VM. */
--- a/src/tests/store_sync_test.cpp
+++ b/src/tests/store_sync_test.cpp
@@ -177,6 +177,8 @@
     setup.revisions.record_remote({{{1000}, {0}, {0}}}, boot_clock::now());
     setup.run_until([] { return false; });
     CHECK(setup.store.short_watches == 1);
+    // It must not keep a VM that starts from becoming ready either.
+    CHECK(setup.sync.up_to_date());
 }
 
 TEST_CASE("a configuration that cannot be read leaves the last valid one in effect")
