Feature: The limit that an upstream advertises is read, logged and counted

Change: the header is read from answers to requests and to probes; SR303 and SR304 log begin, change and end, a gauge counts the upstreams. The limit ends with an answer that no longer names it, provided that its request was sent after the limit was last named and that answers of that sort have named it. Nothing acts on it yet.

--- a/src/call_attempt.cpp
+++ b/src/call_attempt.cpp
@@ -241,6 +241,11 @@
         return attempt_end::misdirected;
     }
     if (head.headers.find(dialect.not_executed)) {
+        // A refusal need not repeat the limit, so that one without it does not end it.
+        if (head.headers.find(dialect.limit)) {
+            context_.prober.apply_limit(*picked_.target, head.headers, limit_source::answer,
+                                        started_);
+        }
         return attempt_end::not_executed;
     }
     const auto echoed = head.headers.find(dialect.attempt_id);
@@ -250,6 +255,7 @@
     if (invalid) {
         return attempt_end::broken;
     }
+    context_.prober.apply_limit(*picked_.target, head.headers, limit_source::answer, started_);
     answer_.status = head.status;
     answer_.headers = head.headers;
     head_accepted_ = true;
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -375,6 +375,11 @@
             .Increment(static_cast<double>(dropped - std::exchange(dropped_reported, dropped)));
         set_gauge("sniperock_upstreams", "Registry entries known",
                   static_cast<double>(registry.size()));
+        std::size_t limited = 0;
+        registry.for_each(
+            [&](const upstream& entry) { limited += advertised_limit(entry) ? 1 : 0; });
+        set_gauge("sniperock_upstreams_limited", "Upstreams that advertise a limit",
+                  static_cast<double>(limited));
         sync.for_each_last_answer([&](const std::string& kind, local_time answered) {
             const std::chrono::duration<double> silence = now - answered;
             set_gauge("sniperock_store_silence_seconds",
--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -31,6 +31,8 @@
     upstream_silent = 300,
     upstream_replaced = 301,
     upstream_back = 302,
+    upstream_limited = 303,
+    upstream_unlimited = 304,
     // 5xx: store.
     store_lost = 500,
     store_back = 501,
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -76,6 +76,13 @@
                      "A different upstream answers at the address of this one."},
     event_descriptor{event::upstream_back, event_level::info, "upstreams", "upstream_back",
                      "upstream service", "An upstream that was silent answers again."},
+    event_descriptor{event::upstream_limited, event_level::info, "upstreams", "upstream_limited",
+                     "upstream service per_s source",
+                     "An upstream advertises that it accepts per_s requests per second from all "
+                     "VMs together, or changes this limit by more than a fifth."},
+    event_descriptor{event::upstream_unlimited, event_level::info, "upstreams",
+                     "upstream_unlimited", "upstream service source",
+                     "An upstream no longer advertises a limit."},
     // 5xx: store.
     event_descriptor{
         event::store_lost, event_level::warning, "store", "store_lost", "kind ms",
--- a/src/upstream_probe.cpp
+++ b/src/upstream_probe.cpp
@@ -103,11 +103,11 @@
         co_return false;
     }
     average_time_ += (boot_clock::now() - sent_at - average_time_) / average_window;
-    apply_answer(*target, connection->head());
+    apply_answer(*target, connection->head(), sent_at);
     co_return true;
 }
 
-void upstream_prober::apply_answer(upstream& item, http_head& head) const
+void upstream_prober::apply_answer(upstream& item, http_head& head, local_time sent_at) const
 {
     const auto now = boot_clock::now();
     const auto id = head.headers.find(dialect_.upstream_id);
@@ -118,6 +118,18 @@
     item.unhealthy = head.status != http_status::ok;
     handle_response(item);
     apply_headers(item, head.headers, now);
+    apply_limit(item, head.headers, limit_source::probe, sent_at);
+}
+
+void upstream_prober::apply_limit(upstream& item, const http_headers& headers, limit_source source,
+                                  local_time sent_at) const
+{
+    const auto text = headers.find(dialect_.limit);
+    const auto per_s = text ? parse_rate(*text) : std::nullopt;
+    // A value that cannot be read says nothing about the limit.
+    if (!text || per_s) {
+        observe_limit(item, {per_s, source, sent_at}, boot_clock::now());
+    }
 }
 
 void upstream_prober::apply_headers(upstream& item, const http_headers& headers,
--- a/src/upstream_probe.hpp
+++ b/src/upstream_probe.hpp
@@ -1,6 +1,7 @@
 /** @file upstream_probe.hpp Probes the load and health of upstreams. */
 #pragma once
 
+#include "upstream_limit.hpp"
 #include "upstream_pool.hpp"
 #include "upstream_type.hpp"
 #include "wire_dialect.hpp"
@@ -45,6 +46,10 @@
                const std::string& health_path);
     /** Updates load report and cold state of an upstream from the headers of an answer. */
     void apply_headers(upstream& item, const http_headers& headers, local_time now) const;
+    /** Updates the limit of an upstream from the headers of an answer to a request or a probe that
+     * was sent at @p sent_at. */
+    void apply_limit(upstream& item, const http_headers& headers, limit_source source,
+                     local_time sent_at) const;
     /** Moving average of the answer time of probes. */
     [[nodiscard]] nanoseconds average_time() const { return average_time_; }
 
@@ -52,7 +57,7 @@
     task<> run(std::shared_ptr<probe_round> round, upstream_ptr target, std::string health_path);
     task<bool> send_probe(std::shared_ptr<http_connection> connection, upstream_ptr target,
                           std::string health_path, nanoseconds timeout);
-    void apply_answer(upstream& item, http_head& head) const;
+    void apply_answer(upstream& item, http_head& head, local_time sent_at) const;
 
     asio::io_context& io_;
     upstream_pool& pool_;
--- a/src/upstream_type.hpp
+++ b/src/upstream_type.hpp
@@ -75,6 +75,19 @@
     local_time backoff_until_;
 };
 
+/** The limit on requests per second that an upstream advertises; it applies to all VMs together. */
+struct upstream_limit {
+    /** Empty once it advertises none. */
+    std::optional<double> per_s;
+    /** The value that was last logged. */
+    std::optional<double> logged_per_s;
+    /** When an answer last advertised it, or showed that it ended. */
+    local_time observed_at;
+    /** Whether answers to probes, or to requests, advertise it. */
+    bool in_probes = false;
+    bool in_answers = false;
+};
+
 /** State of an upstream on this VM; outlives its registry entry while requests run. */
 struct upstream : std::enable_shared_from_this<upstream> {
     upstream_entry entry;
@@ -94,6 +107,8 @@
     local_time cold_until;
     /** Requests of this VM in the last second while the upstream was cold. */
     sliding_count cold_sends{cold_window};
+    /** Null until the upstream first advertises a limit. */
+    std::unique_ptr<upstream_limit> limit;
     failure_record failures;
     /** Idle connections, the most recently used one at the back. */
     std::vector<std::shared_ptr<http_connection>> idle;
--- a/src/wire_dialect.cpp
+++ b/src/wire_dialect.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <cmath>
 #include <ranges>
 
 namespace sniperock {
@@ -102,6 +103,7 @@
         .expected_upstream = "X-Expect-Upstream",
         .signature = "X-Answer-Signature",
         .load = "X-Upstream-Load",
+        .limit = "X-Upstream-Limit",
         .not_executed = "X-Not-Run",
         .upstream_id = "X-Upstream-Id",
         .cold_ms = "X-Cold-Ms",
@@ -131,6 +133,16 @@
     return {};
 }
 
+std::optional<double> parse_rate(std::string_view text)
+{
+    double value = 0;
+    const auto [end, error] =
+        std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+    const bool is_rate = error == std::errc{} && end == text.data() + text.size() &&
+                         std::isfinite(value) && value >= 0;
+    return is_rate ? std::optional{value} : std::nullopt;
+}
+
 std::optional<std::uint64_t> parse_unsigned(std::string_view text)
 {
     std::uint64_t value = 0;
--- a/src/wire_dialect.hpp
+++ b/src/wire_dialect.hpp
@@ -36,6 +36,8 @@
     std::string_view signature;
     /** Response: the upstream's load. */
     std::string_view load;
+    /** Response: requests per second that the upstream accepts from all VMs together. */
+    std::string_view limit;
     /** Response: present if the upstream did not execute the request. */
     std::string_view not_executed;
     /** Health check response: id of the upstream. */
@@ -68,6 +70,9 @@
  */
 std::string query_value(std::string_view target, std::string_view name);
 
+/** Parses a decimal number that is not negative; empty if malformed. */
+std::optional<double> parse_rate(std::string_view text);
+
 /** Parses an unsigned decimal integer; empty if malformed or out of range. */
 std::optional<std::uint64_t> parse_unsigned(std::string_view text);
 
