Fix: The VMs together keep to the limit that an upstream advertises

Callers saw nothing of it. Class: a bound on the whole fleet that no VM knows its part of. Change: each VM uses a share of the limit in whole requests per 4 s. If the limit is below one request per VM and window, whole requests are assigned to some VMs by a hash of upstream and VM; a limit below one in 4 s gets a longer window, at most 10 s. Upstreams without a share left are no candidates, so work goes to the others; if there are none, the request is refused at once (end=limited, Retry-After), not run. An excluded upstream is probed now and then to learn of the limit's end if its probes advertise it, and its requests are assigned to other VMs after each 10 s without news. A limit outlives the registry entry as long as the upstream's process runs. Logs, metrics and explain name it.

--- a/src/call.cpp
+++ b/src/call.cpp
@@ -25,6 +25,19 @@
     return std::chrono::duration_cast<milliseconds>(time);
 }
 
+/** How a call ends for which no upstream was selected. */
+call_end end_of(pick_failure failure)
+{
+    switch (failure) {
+    case pick_failure::no_upstream:
+        return call_end::no_upstream;
+    case pick_failure::limited:
+        return call_end::limited;
+    default:
+        return call_end::no_slot;
+    }
+}
+
 } // namespace
 
 call::call(call_context& context, exchange_ptr exchange)
@@ -92,7 +105,8 @@
     }
     const bool started = co_await start_attempt(true);
     if (!*finished_) {
-        const bool refused = !started && pick_failure_ == pick_failure::no_slot;
+        const bool refused = !started && (pick_failure_ == pick_failure::no_slot ||
+                                          pick_failure_ == pick_failure::limited);
         context_.load_shedding.record(service_, route_->priority, refused, boot_clock::now());
     }
     if (!started) {
@@ -295,8 +309,7 @@
         refuse(call_end::not_run);
     }
     else {
-        refuse(pick_failure_ == pick_failure::no_upstream ? call_end::no_upstream
-                                                          : call_end::no_slot);
+        refuse(end_of(pick_failure_));
     }
 }
 
--- a/src/call_log.cpp
+++ b/src/call_log.cpp
@@ -69,6 +69,7 @@
                {"unknown", std::to_string(summary.search.unknown)},
                {"full", std::to_string(summary.search.full)},
                {"cold_held", std::to_string(summary.search.cold_held)},
+               {"limit_held", std::to_string(summary.search.limit_held)},
                {"best_ms", integer_text(summary.search.best_ms)},
                {"urgent_refused", percent_text(summary.urgent_refused)}});
 }
--- a/src/call_metrics.cpp
+++ b/src/call_metrics.cpp
@@ -23,6 +23,9 @@
       cold_denied(
           registry.counter("sniperock_cold_denied_total",
                            "Choices that passed a cold upstream over because of its limit")),
+      limit_denied(registry.counter(
+          "sniperock_limit_denied_total",
+          "Choices that passed an upstream over because of the limit that it advertises")),
       registry_(registry)
 {
 }
--- a/src/call_metrics.hpp
+++ b/src/call_metrics.hpp
@@ -30,6 +30,7 @@
     prometheus::Counter& hedges;
     prometheus::Counter& repeats_denied;
     prometheus::Counter& cold_denied;
+    prometheus::Counter& limit_denied;
 
 private:
     metrics& registry_;
--- a/src/call_picker.cpp
+++ b/src/call_picker.cpp
@@ -3,6 +3,7 @@
 
 #include "choice_admission.hpp"
 #include "choice_subset.hpp"
+#include "rate_limit.hpp"
 
 #include <algorithm>
 #include <ranges>
@@ -30,8 +31,11 @@
     {
         for (;;) {
             const auto all = candidates();
+            probe_excluded();
             if (all.empty()) {
-                co_return pick_result{std::nullopt, pick_failure::no_upstream, record_};
+                const auto failure =
+                    excluded_.empty() ? pick_failure::no_upstream : pick_failure::limited;
+                co_return pick_result{std::nullopt, failure, record_};
             }
             auto picked = co_await run_round(all);
             if (picked || *cancelled) {
@@ -57,10 +61,15 @@
         const auto now = boot_clock::now();
         std::vector<candidate> healthy;
         std::vector<candidate> suspect;
+        excluded_.clear();
         for (const auto& item : context_.registry.of_service(request_.service)) {
             if (!context_.registry.usable(*item) || request_.tried.contains(item->entry.id)) {
                 continue;
             }
+            if (!rate_limit_allows(*item, context_.fleet, now)) {
+                excluded_.push_back(item);
+                continue;
+            }
             const bool same_domain = item->entry.failure_domain == context_.settings.failure_domain;
             const bool is_suspect = item->unhealthy || item->failures.in_backoff(now);
             (is_suspect ? suspect : healthy).push_back({item.get(), same_domain, false});
@@ -74,6 +83,35 @@
         return stable_subset(std::move(healthy), subset_size, context_.settings.vm_name);
     }
 
+    /** Probes one of the upstreams that this VM's share of their limit excludes, if it is time to
+     * check whether the limit still holds. */
+    void probe_excluded()
+    {
+        record_.limit_held += excluded_.size();
+        if (excluded_.empty()) {
+            return;
+        }
+        context_.stats.limit_denied.Increment(static_cast<double>(excluded_.size()));
+        const auto now = boot_clock::now();
+        const auto interval = excluded_probe_interval(context_.fleet);
+        const auto due = std::ranges::find_if(excluded_, [&](const upstream_ptr& item) {
+            return item->limit->in_probes && now - item->limit->probed_at >= interval;
+        });
+        if (due == excluded_.end() || !may_probe(now)) {
+            return;
+        }
+        (*due)->limit->probed_at = now;
+        const auto round = std::make_shared<probe_round>(context_.io.get_executor());
+        round->closed = true;
+        context_.prober.start(round, *due, health_path());
+    }
+
+    [[nodiscard]] std::string health_path() const
+    {
+        const auto* service = request_.service_settings;
+        return service == nullptr ? "/healthz" : service->health_path;
+    }
+
     /** Evaluates a sample of the candidates. @return the selected upstream, if any. */
     task<std::optional<picked_upstream>> run_round(const std::vector<candidate>& all)
     {
@@ -106,8 +144,6 @@
     /** Probes the candidates without a fresh load report and waits for enough answers. */
     task<> probe(std::shared_ptr<probe_round> round, std::vector<candidate>& sample)
     {
-        const auto* service = request_.service_settings;
-        const std::string health_path = service == nullptr ? "/healthz" : service->health_path;
         const auto started = boot_clock::now();
         fresh_since_ = started - context_.settings.probe_fresh;
         update_freshness(sample);
@@ -118,7 +154,7 @@
             if (!may_probe(started)) {
                 break;
             }
-            context_.prober.start(round, option.item->shared_from_this(), health_path);
+            context_.prober.start(round, option.item->shared_from_this(), health_path());
         }
         const auto latest = started + context_.settings.probe_timeout;
         const auto late_at = started + context_.prober.average_time() * late_factor;
@@ -231,11 +267,12 @@
         if (basis.cold) {
             item.cold_sends.add(now);
         }
+        count_limited_send(item, now);
         return {item.shared_from_this(), nullptr, basis};
     }
 
     /** Whether a candidate can be selected, or why not. */
-    enum class eligibility { eligible, unusable, cold_held, unknown, full };
+    enum class eligibility { eligible, unusable, cold_held, limit_held, unknown, full };
 
     eligibility check_eligibility(const candidate& option, local_time now)
     {
@@ -248,6 +285,9 @@
                                context_.fleet, now)) {
             return eligibility::cold_held;
         }
+        if (!rate_limit_allows(item, context_.fleet, now)) {
+            return eligibility::limit_held;
+        }
         if (!context_.policy.probes()) {
             return eligibility::eligible;
         }
@@ -270,9 +310,13 @@
         record_.unknown += verdict == eligibility::unknown ? 1 : 0;
         record_.full += verdict == eligibility::full ? 1 : 0;
         record_.cold_held += verdict == eligibility::cold_held ? 1 : 0;
+        record_.limit_held += verdict == eligibility::limit_held ? 1 : 0;
         if (verdict == eligibility::cold_held) {
             context_.stats.cold_denied.Increment();
         }
+        if (verdict == eligibility::limit_held) {
+            context_.stats.limit_denied.Increment();
+        }
     }
 
     /** Suspect upstreams are among the candidates in one of this many rounds. */
@@ -281,6 +325,8 @@
     call_context& context_;
     pick_request& request_;
     search_record record_;
+    /** Upstreams that this VM's share of their limit excludes now. */
+    std::vector<upstream_ptr> excluded_;
     /** Load reports received at or after this time are fresh. */
     local_time fresh_since_;
     /** The search ends without an upstream; it does not wait for a free slot. */
--- a/src/call_picker.hpp
+++ b/src/call_picker.hpp
@@ -28,10 +28,11 @@
     std::size_t looks = 0;
     std::size_t looked_at = 0;
     /** Rejected candidates: without a fresh load report, without a free slot, over the limit for
-     * cold upstreams. */
+     * cold upstreams, over the limit that they advertise. */
     std::size_t unknown = 0;
     std::size_t full = 0;
     std::size_t cold_held = 0;
+    std::size_t limit_held = 0;
     /** Expected time in ms at the best candidate of the last round; empty if none was eligible. */
     std::optional<double> best_ms;
 };
@@ -62,7 +63,7 @@
 };
 
 /** Why no upstream was selected. */
-enum class pick_failure { none, no_upstream, no_slot };
+enum class pick_failure { none, no_upstream, no_slot, limited };
 
 struct pick_result {
     std::optional<picked_upstream> picked;
--- a/src/call_type.hpp
+++ b/src/call_type.hpp
@@ -50,6 +50,8 @@
     no_upstream,
     /** No upstream has a free slot. */
     no_slot,
+    /** All usable upstreams have reached the limit that they advertise. */
+    limited,
     /** Refused in favour of requests of higher priority. */
     yielded,
     /** Upstreams refused the request, or it was never sent; it was not executed. */
@@ -71,6 +73,7 @@
     enum_name<call_end>{call_end::no_configuration, "no-configuration"},
     enum_name<call_end>{call_end::no_upstream, "no-upstream"},
     enum_name<call_end>{call_end::no_slot, "no-slot"},
+    enum_name<call_end>{call_end::limited, "limited"},
     enum_name<call_end>{call_end::yielded, "yielded"},
     enum_name<call_end>{call_end::not_run, "not-run"},
     enum_name<call_end>{call_end::failed, "failed"},
--- a/src/explain.cpp
+++ b/src/explain.cpp
@@ -26,12 +26,13 @@
 /** Describes the outcome of a call. */
 std::string outcome_text(std::string_view end)
 {
-    static constexpr std::array<std::pair<std::string_view, std::string_view>, 11> table{{
+    static constexpr std::array<std::pair<std::string_view, std::string_view>, 12> table{{
         {"answered", "the answer of an upstream was forwarded"},
         {"no-route", "no route of the configuration in force matches"},
         {"no-configuration", "this VM had not read a configuration yet"},
         {"no-upstream", "the registry contained no usable upstream"},
         {"no-slot", "no upstream that was probed could answer in time"},
+        {"limited", "every usable upstream has reached the limit that it advertises"},
         {"yielded", "the request was shed to leave the slots to more urgent ones"},
         {"not-run", "the upstreams that were tried did not run it"},
         {"failed", "it may have run, but no complete answer was received"},
@@ -55,12 +56,15 @@
 
 void write_search(std::ostringstream& out, const log_fields& line)
 {
-    if (field(line, "looks").empty() || field(line, "looks") == "0") {
+    const auto at_limit = field(line, "limit_held");
+    const bool has_limited = !at_limit.empty() && at_limit != "0";
+    if (field(line, "looks").empty() || (field(line, "looks") == "0" && !has_limited)) {
         return;
     }
     out << "      searched " << field(line, "looks") << " times over " << field(line, "looked_at")
         << " upstreams: " << field(line, "full") << " full, " << field(line, "unknown")
-        << " without a fresh report, " << field(line, "cold_held") << " held back as cold";
+        << " without a fresh report, " << field(line, "cold_held") << " held back as cold"
+        << (has_limited ? ", " + at_limit + " at their limit" : "");
     const auto best = field(line, "best_ms");
     out << (best.empty() ? "; none could accept the request\n"
                          : "; the best estimate was " + best + " ms\n");
--- a/src/fleet_share.hpp
+++ b/src/fleet_share.hpp
@@ -31,4 +31,8 @@
  */
 std::size_t vm_share(std::size_t total, std::string_view subject, const fleet_view& fleet);
 
+/** Like vm_share(), but all units are assigned, and the rest of a division to single VMs. For
+ * limits that leave room for VMs with different views of the fleet. */
+std::size_t vm_full_share(std::size_t total, std::string_view subject, const fleet_view& fleet);
+
 } // namespace sniperock
--- a/src/sliding_count.hpp
+++ b/src/sliding_count.hpp
@@ -3,6 +3,7 @@
 
 #include "clock_type.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <deque>
 
@@ -27,6 +28,12 @@
         drop_expired(now);
         return times_.size();
     }
+    /** Number of events after @p from, which is not before the start of the window. */
+    [[nodiscard]] std::size_t count_after(local_time from, local_time now)
+    {
+        drop_expired(now);
+        return static_cast<std::size_t>(times_.end() - std::ranges::upper_bound(times_, from));
+    }
     /** True if no event is in the window that ends at @p now. */
     [[nodiscard]] bool empty(local_time now) const
     {
--- a/src/tests/explain_test.cpp
+++ b/src/tests/explain_test.cpp
@@ -59,6 +59,20 @@
     CHECK(text.find("42% had found no slot recently") != std::string::npos);
 }
 
+TEST_CASE("a request refused for the limits of its upstreams is explained with their number")
+{
+    std::istringstream log(
+        "time=1.3 name=call_troubled vm=b id=c-1 route=r service=jobs end=limited status=503 "
+        "sends=0 runs=0 ms=0 target_ms=300 upstream=\"\" looks=0 looked_at=0 unknown=0 full=0 "
+        "cold_held=0 limit_held=21 best_ms=\"\" urgent_refused=0\n");
+    request_trace trace("c-1");
+    trace.read(log);
+    const auto text = trace.text();
+    CHECK(text.find("every usable upstream has reached the limit that it advertises") !=
+          std::string::npos);
+    CHECK(text.find("21 at their limit") != std::string::npos);
+}
+
 TEST_CASE("a request without lines is reported as having none")
 {
     std::istringstream log("time=1 id=other\n");
--- a/src/tests/upstream_registry_test.cpp
+++ b/src/tests/upstream_registry_test.cpp
@@ -177,3 +177,16 @@
     registry.put(entry(0), start);
     CHECK(usable(registry) == 10);
 }
+
+// A VM that forgets a limit with the entry would send to the upstream as before.
+TEST_CASE("an upstream whose entry returns keeps its limit unless it has started again")
+{
+    upstream_registry registry{milliseconds{0}};
+    registry.put(entry(1, 7), start);
+    registry.of_service("jobs").front()->limit = std::make_shared<upstream_limit>();
+    registry.remove("u-1", start);
+    const bool restarted = GENERATE(false, true);
+    registry.put(entry(1, restarted ? 8 : 7), start + seconds{3});
+    const auto& limit = registry.of_service("jobs").front()->limit;
+    CHECK((limit != nullptr) == !restarted);
+}
--- a/src/upstream_limit.cpp
+++ b/src/upstream_limit.cpp
@@ -60,7 +60,7 @@
         return;
     }
     if (!state) {
-        state = std::make_unique<upstream_limit>();
+        state = std::make_shared<upstream_limit>();
     }
     state->per_s = observation.per_s;
     state->observed_at = now;
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -11,6 +11,8 @@
 constexpr double mass_expiry_share = 0.5;
 /** Fewer removals than this are never treated as a mass expiry. */
 constexpr std::size_t min_mass_expiry = 4;
+/** Upstreams whose entries lapsed in a store outage register again within this time. */
+constexpr seconds dropped_limit_lifetime{60};
 
 } // namespace
 
@@ -40,7 +42,7 @@
                            item.entry.endpoint == entry.endpoint && !item.removed;
     if (!unchanged) {
         // Another incarnation under the same id: the state of the old one does not apply.
-        drop(entry.id);
+        drop(entry.id, now);
         add(entry, now);
         return;
     }
@@ -54,9 +56,16 @@
     auto item = std::make_shared<upstream>();
     item->entry = entry;
     item->cold_until = now + entry.cold_remaining;
-    std::erase_if(dropped_cold_sends_, [now](const auto& sent) { return sent.second.empty(now); });
-    if (const auto sent = dropped_cold_sends_.extract(entry.id)) {
-        item->cold_sends = sent.mapped();
+    std::erase_if(dropped_, [now](const auto& pair) {
+        const auto& old = pair.second;
+        return old.cold_sends.empty(now) &&
+               (!old.limit || now - old.dropped_at >= dropped_limit_lifetime);
+    });
+    if (const auto old = dropped_.extract(entry.id)) {
+        item->cold_sends = old.mapped().cold_sends;
+        if (old.mapped().start_time_ms == entry.start_time_ms) {
+            item->limit = old.mapped().limit;
+        }
     }
     by_service_[entry.service].push_back(item);
     by_id_.emplace(entry.id, std::move(item));
@@ -78,7 +87,7 @@
         item.lapsed_until = now < grace_until_ ? grace_until_ : now + return_grace_ / 2;
         return;
     }
-    drop(found->first);
+    drop(found->first, now);
 }
 
 /** True if the entry may have been removed because its upstream could not reach the store. */
@@ -105,7 +114,7 @@
             expired.push_back(id);
         }
     }
-    std::ranges::for_each(expired, [this](const std::string& id) { drop(id); });
+    std::ranges::for_each(expired, [&](const std::string& id) { drop(id, now); });
 }
 
 void upstream_registry::mark_removed(upstream& item)
@@ -114,11 +123,12 @@
     item.idle.clear();
 }
 
-void upstream_registry::drop(const std::string& id)
+void upstream_registry::drop(const std::string& id, local_time now)
 {
     const auto found = by_id_.find(id);
     const auto item = found->second;
-    dropped_cold_sends_.insert_or_assign(id, item->cold_sends);
+    dropped_.insert_or_assign(
+        id, dropped_upstream{item->cold_sends, item->entry.start_time_ms, item->limit, now});
     by_id_.erase(found);
     mark_removed(*item);
     std::erase(by_service_[item->entry.service], item);
--- a/src/upstream_registry.hpp
+++ b/src/upstream_registry.hpp
@@ -68,7 +68,7 @@
     static constexpr milliseconds mass_expiry_window{1000};
 
     void add(const upstream_entry& entry, local_time now);
-    void drop(const std::string& id);
+    void drop(const std::string& id, local_time now);
     bool may_have_lapsed(const upstream& item, local_time now);
 
     milliseconds return_grace_;
@@ -76,9 +76,18 @@
     std::map<std::string, upstream_ptr, std::less<>> by_id_;
     std::map<std::string, std::vector<upstream_ptr>, std::less<>> by_service_;
     std::set<std::string, std::less<>> evacuated_;
-    /** Recent requests to cold upstreams, by the ids of dropped entries: a probe reveals a restart
-     * before the registry does, and one limit applies to both. */
-    std::map<std::string, sliding_count, std::less<>> dropped_cold_sends_;
+    /** What is kept of a dropped entry, in case its upstream registers again. */
+    struct dropped_upstream {
+        /** Recent requests while it was cold: a probe reveals a restart before the registry does,
+         * and one limit applies to both. */
+        sliding_count cold_sends;
+        /** The limit that it advertises holds as long as its process runs. */
+        std::int64_t start_time_ms = 0;
+        std::shared_ptr<upstream_limit> limit;
+        local_time dropped_at;
+    };
+    /** By id. */
+    std::map<std::string, dropped_upstream, std::less<>> dropped_;
     /** Removals in the last second of upstreams that had not announced that they drain. */
     sliding_count unannounced_removals_{mass_expiry_window};
 };
--- a/src/upstream_type.hpp
+++ b/src/upstream_type.hpp
@@ -21,6 +21,9 @@
  * covers the difference between sending and arrival. */
 inline constexpr milliseconds cold_window{1100};
 
+/** Requests to an upstream with a limit are counted over windows of at most this length. */
+inline constexpr milliseconds max_limit_window{10'100};
+
 /** Registry entry of an upstream. */
 struct upstream_entry {
     std::string id;
@@ -86,6 +89,15 @@
     /** Whether answers to probes, or to requests, advertise it. */
     bool in_probes = false;
     bool in_answers = false;
+    /** Requests of this VM since the limit was first advertised. */
+    sliding_count sends{max_limit_window};
+    /** This VM's share: most requests in a window. It was computed for shared_per_s. */
+    std::size_t share = 0;
+    milliseconds share_window{0};
+    std::optional<double> shared_per_s;
+    local_time share_updated_at;
+    /** When this VM last probed the upstream although its share excluded it. */
+    local_time probed_at;
 };
 
 /** State of an upstream on this VM; outlives its registry entry while requests run. */
@@ -108,7 +120,7 @@
     /** Requests of this VM in the last second while the upstream was cold. */
     sliding_count cold_sends{cold_window};
     /** Null until the upstream first advertises a limit. */
-    std::unique_ptr<upstream_limit> limit;
+    std::shared_ptr<upstream_limit> limit;
     failure_record failures;
     /** Idle connections, the most recently used one at the back. */
     std::vector<std::shared_ptr<http_connection>> idle;
