Fix: Revisions of a restored store are not mixed up with those before

What was seen: after an absence of 0.2 to 0.4 s with changes right after it, VMs served an older version than the one confirmed 2 s before, and refused routes that had been added: CONFIG, DENIED. A restored store gives revisions out again; a watch after 33, which now was another change, was answered without it. 410 comes only as long as the store is behind. Reports of other VMs compare the same numbers, so they did not help. Ruled out: late retries (as with reset, which breaks nothing), refused versions (SR505 had no events). Class: a counter compared across a restart of what counts it. Change: a revision is ordered by the store's era first, which each answer names. A watch answered in a later era than it began in has no history; its kind is listed afresh and entries that are missing get the grace of an outage. The era of any answer, and of other VMs' heartbeats, replaces watches that are pending. Answers of an earlier era change nothing; the next call is fresh. SR511 and a gauge tell of it. VMs of earlier releases report no era; theirs is taken for the newest. The red test passes. Conclusion: the era decides wherever revisions are compared; four other losses of a restore are still red.

--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -380,6 +380,8 @@
             [&](const upstream& entry) { limited += advertised_limit(entry) ? 1 : 0; });
         set_gauge("sniperock_upstreams_limited", "Upstreams that advertise a limit",
                   static_cast<double>(limited));
+        set_gauge("sniperock_store_era", "Newest era in which the store has answered",
+                  static_cast<double>(store.newest_era().value));
         sync.for_each_last_answer([&](const std::string& kind, local_time answered) {
             const std::chrono::duration<double> silence = now - answered;
             set_gauge("sniperock_store_silence_seconds",
--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -45,6 +45,7 @@
     store_heard = 508,
     store_change_missed = 509,
     store_role_changed = 510,
+    store_restored = 511,
     // 6xx: configuration and registry.
     config_applied = 600,
     config_refused = 601,
--- a/src/member_gossip.cpp
+++ b/src/member_gossip.cpp
@@ -37,6 +37,7 @@
 constexpr std::size_t store_answers_index = 3;
 constexpr std::size_t updates_index = 4;
 constexpr std::size_t wanted_index = 5;
+constexpr std::size_t eras_index = 6;
 using wire_update = std::tuple<std::uint32_t, std::uint64_t, std::uint64_t, std::uint8_t>;
 
 /** Limits on a decoded heartbeat, so that lengths in corrupt bytes do not cause allocations. */
@@ -77,6 +78,12 @@
             }
         }
     }
+    if (fields.size > eras_index) {
+        const auto eras = fields.ptr[eras_index].as<wire_revisions>();
+        for (std::size_t i = 0; i < eras.size(); ++i) {
+            decoded.revisions.at(i).era = {eras.at(i)};
+        }
+    }
     if (fields.size > wanted_index) {
         const auto wanted = fields.ptr[wanted_index].as<std::vector<std::uint32_t>>();
         std::ranges::transform(wanted, std::back_inserter(decoded.wanted), to_address);
@@ -100,6 +107,9 @@
                            });
     wire_revisions revisions{};
     std::ranges::transform(message.revisions, revisions.begin(), &store_revision::value);
+    wire_revisions eras{};
+    std::ranges::transform(message.revisions, eras.begin(),
+                           [](const store_revision& revision) { return revision.era.value; });
     msgpack::sbuffer buffer;
     std::vector<wire_update> updates;
     updates.reserve(message.updates.size());
@@ -110,7 +120,7 @@
     std::vector<std::uint32_t> wanted;
     std::ranges::transform(message.wanted, std::back_inserter(wanted), to_number);
     msgpack::pack(buffer, std::tuple{format_version, entries, revisions, message.store_answers,
-                                     updates, wanted});
+                                     updates, wanted, eras});
     return {buffer.data(), buffer.size()};
 }
 
--- a/src/store_news.hpp
+++ b/src/store_news.hpp
@@ -36,13 +36,20 @@
     {
         auto& newest = local_revisions_.at(index(kind));
         newest = std::max(newest, revision);
+        newest_era_ = std::max(newest_era_, revision.era);
     }
     /** Records the revisions reported by another VM. */
     void record_remote(const kind_revisions& remote, local_time now)
     {
         for (std::size_t i = 0; i < remote.size(); ++i) {
             auto& reports = reports_.at(i);
-            if (remote.at(i) <= newest_of(reports)) {
+            auto revision = remote.at(i);
+            if (revision.era == store_era{}) {
+                // VMs of earlier releases report no era.
+                revision.era = newest_era_;
+            }
+            newest_era_ = std::max(newest_era_, revision.era);
+            if (revision.value == 0 || revision <= newest_of(reports)) {
                 continue;
             }
             while (!reports.empty() && reports.front().revision <= local_revisions_.at(i)) {
@@ -50,10 +57,10 @@
             }
             if (reports.size() == max_reports) {
                 // The time of the oldest report not yet received matters, so newer ones are merged.
-                reports.back().revision = remote.at(i);
+                reports.back().revision = revision;
             }
             else {
-                reports.push_back({remote.at(i), now});
+                reports.push_back({revision, now});
             }
         }
     }
@@ -64,6 +71,8 @@
     {
         return newest_of(reports_.at(index(kind)));
     }
+    /** Newest era of the store in which this VM or another one has received a change. */
+    [[nodiscard]] store_era newest_era() const { return newest_era_; }
     /** When a revision of a kind after @p revision was first reported by another VM; empty if none
      * was. */
     [[nodiscard]] std::optional<local_time> first_reported_after(watched_kind kind,
@@ -92,6 +101,7 @@
     }
 
     kind_revisions local_revisions_{};
+    store_era newest_era_;
     std::array<std::deque<report>, enum_names<watched_kind>.size()> reports_;
 };
 
--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -44,14 +44,14 @@
             configured_at_ = boot_clock::now();
             log_event(event::config_applied, {{"version", std::to_string(version.value)},
                                               {"routes", std::to_string(routes)},
-                                              {"revision", std::to_string(object.revision.value)}});
+                                              {"revision", to_text(object.revision)}});
             report_unknown_parts(routes_.table()->config());
             on_change_();
         }
     }
     catch (const store_error& error) {
         log_event(event::config_refused,
-                  {{"revision", std::to_string(object.revision.value)}, {"reason", error.what()}});
+                  {{"revision", to_text(object.revision)}, {"reason", error.what()}});
     }
 }
 
@@ -95,7 +95,7 @@
     }
     registry_.replace_all(entries, boot_clock::now());
     log_event(event::registry_listed, {{"upstreams", std::to_string(entries.size())},
-                                       {"revision", std::to_string(listing.at_revision.value)}});
+                                       {"revision", to_text(listing.at_revision)}});
     on_change_();
 }
 
@@ -115,7 +115,7 @@
                    {"service", entry ? entry->service : ""},
                    {"state", !entry ? "removed" : (entry->draining ? "draining" : "ready")},
                    {"cold_ms", std::to_string(entry ? entry->cold_remaining.count() : 0)},
-                   {"revision", std::to_string(change.object.revision.value)}});
+                   {"revision", to_text(change.object.revision)}});
     }
 }
 
--- a/src/store_type.hpp
+++ b/src/store_type.hpp
@@ -48,7 +48,7 @@
     unavailable,
     /** The calls exceed the store's rate limit. */
     over_rate,
-    /** The store no longer has the history that a watch requested. */
+    /** The store no longer has the history that a watch requested, or was restored since. */
     history_gone,
     /** The object already exists, or its revision differs from the given one. */
     conflict,
@@ -108,6 +108,10 @@
     {
         store.create(kind, kind, spec)
     } -> std::same_as<task<>>;
+    // The newest era in which the store has answered.
+    {
+        store.newest_era()
+    } -> std::same_as<store_era>;
     // The pending watch of the kind fails.
     store.cancel_watch(kind);
     // Pending calls fail.
--- a/src/store_watcher.hpp
+++ b/src/store_watcher.hpp
@@ -16,7 +16,7 @@
 
 /** Callbacks through which a watcher reports on the objects of its kind. */
 struct watch_callbacks {
-    /** The store answered again after an outage. */
+    /** The store answered again after an outage, or for the first time since it was restored. */
     std::function<void()> on_recovered;
     /** Every current object of the kind. */
     std::function<void(const store_listing&)> on_listing;
@@ -148,16 +148,24 @@
         }
     }
     /** Replaces the pending watch by an immediate fresh one if it has not delivered a change that
-     * another VM has reported: it is stale, or the store has forgotten it. */
+     * another VM has reported, as it is stale or the store has forgotten it, or if the store was
+     * restored from a copy since the watch began. */
     void check_missed_change(local_time now)
     {
-        if (!long_watch_pending_ || now < next_catch_up_ || !missed_change(now)) {
+        if (!long_watch_pending_ || now < next_catch_up_) {
+            return;
+        }
+        if (was_restored()) {
+            cancel_pending_watch();
+            return;
+        }
+        if (!missed_change(now)) {
             return;
         }
         log_event(event::store_change_missed,
                   {{"kind", kind_},
-                   {"after", std::to_string(last_revision_.value)},
-                   {"heard", std::to_string(revisions_.remote_revision(kind_id_).value)}});
+                   {"after", to_text(last_revision_)},
+                   {"heard", to_text(revisions_.remote_revision(kind_id_))}});
         cancel_pending_watch();
     }
 
@@ -180,6 +188,12 @@
                now - *reported_at >= timing_.apply_limit * wait_fraction;
     }
 
+    /** The store was restored since the last answer about this kind. */
+    [[nodiscard]] bool was_restored() const
+    {
+        return std::max(store_.newest_era(), revisions_.newest_era()) > last_revision_.era;
+    }
+
     void cancel_pending_watch()
     {
         catching_up_ = true;
@@ -215,6 +229,10 @@
             if (call.mode == read_mode::fresh) {
                 end_catch_up();
             }
+            else if (changes.at_revision.era < last_revision_.era) {
+                // A replica of the store that has not been restored yet.
+                catching_up_ = true;
+            }
             co_await sleep_until(call_began_ + call.min_interval);
         }
     }
@@ -246,7 +264,9 @@
     {
         constexpr seconds wrong_report_pause{5};
         verified_at_ = call_began_;
-        if (catching_up_ && revisions_.first_reported_after(kind_id_, last_revision_)) {
+        const bool is_wrong =
+            was_restored() || revisions_.first_reported_after(kind_id_, last_revision_);
+        if (catching_up_ && is_wrong) {
             next_catch_up_ = boot_clock::now() + wrong_report_pause;
         }
         catching_up_ = false;
@@ -276,7 +296,16 @@
         if (mode == read_mode::stale && synced_ && listing.at_revision <= last_revision_) {
             listing = co_await store_.list(kind_, read_mode::fresh);
         }
+        if (listing.at_revision.era < last_revision_.era) {
+            throw store_error(store_failure::unavailable, "answer of an earlier era");
+        }
         handle_answer();
+        if (synced_ && listing.at_revision.era > last_revision_.era) {
+            log_event(event::store_restored, {{"kind", kind_},
+                                              {"after", to_text(last_revision_)},
+                                              {"at", to_text(listing.at_revision)}});
+            callbacks_.on_recovered();
+        }
         last_revision_ = listing.at_revision;
         catching_up_ = catching_up_ && mode == read_mode::stale;
         has_listing_ = true;
@@ -310,8 +339,8 @@
     void log_changes(const store_changes& changes, read_mode mode)
     {
         log_event(event::store_watch_ended, {{"kind", kind_},
-                                             {"after", std::to_string(last_revision_.value)},
-                                             {"at", std::to_string(changes.at_revision.value)},
+                                             {"after", to_text(last_revision_)},
+                                             {"at", to_text(changes.at_revision)},
                                              {"events", std::to_string(changes.events.size())},
                                              {"mode", std::string{to_name(mode)}},
                                              {"ms", std::to_string(call_age().count())}});
@@ -321,12 +350,15 @@
     {
         log_event(event::store_call_failed, {{"kind", kind_},
                                              {"call", has_listing_ ? "watch" : "list"},
-                                             {"after", std::to_string(last_revision_.value)},
+                                             {"after", to_text(last_revision_)},
                                              {"failure", std::string{to_name(error.failure())}},
                                              {"reason", error.what()},
                                              {"ms", std::to_string(call_age().count())}});
         if (error.failure() == store_failure::history_gone) {
             has_listing_ = false;
+            if (was_restored()) {
+                next_listing_mode_ = read_mode::fresh;
+            }
             log_event(event::store_history_gone, {{"kind", kind_}});
             return;
         }
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -121,6 +121,10 @@
                      "role",
                      "How this VM follows the store: alone and announcer read fresh, a follower "
                      "stale until another VM reports a change that it lacks."},
+    event_descriptor{event::store_restored, event_level::warning, "store", "store_restored",
+                     "kind after at",
+                     "The store was restored from a copy since revision after, and is at revision "
+                     "at of a new era; the kind was listed again."},
     // 6xx: configuration and registry.
     event_descriptor{event::config_applied, event_level::info, "config", "config_applied",
                      "version routes revision", "A newer configuration is in force on this VM."},
--- a/src/tests/member_table_test.cpp
+++ b/src/tests/member_table_test.cpp
@@ -206,7 +206,7 @@
     const std::vector<member_entry> entries{entry(1, 7, 3), entry(2, 8, 4, member_state::leaving)};
     const auto received =
         decode_heartbeat(encode_heartbeat({entries,
-                                           {{{5}, {6}, {7}}},
+                                           {{{5, {1}}, {6, {2}}, {7, {2}}}},
                                            false,
                                            {{"10.0.0.9", {3}, 4, member_state::ready}},
                                            {"10.0.0.8"}}));
@@ -217,7 +217,7 @@
     CHECK(received->updates.front().incarnation_id.value == 3);
     CHECK(received->updates.front().sequence == 4);
     CHECK(received->wanted == std::vector<std::string>{"10.0.0.8"});
-    CHECK(received->revisions == kind_revisions{{{5}, {6}, {7}}});
+    CHECK(received->revisions == kind_revisions{{{5, {1}}, {6, {2}}, {7, {2}}}});
     const auto* const decoded = &received->entries;
     REQUIRE(decoded->size() == 2);
     CHECK(decoded->at(1).address == "10.0.0.2");
--- a/src/tests/store_liveness_probe_test.cpp
+++ b/src/tests/store_liveness_probe_test.cpp
@@ -35,6 +35,8 @@
     }
     task<> create(const std::string&, const std::string&, const nlohmann::json&) { co_return; }
     void cancel_watch(const std::string&) {}
+    [[nodiscard]] store_era newest_era() const { return era; }
+    store_era era;
     void drop_connections()
     {
         ++drops;
--- a/src/tests/store_news_test.cpp
+++ b/src/tests/store_news_test.cpp
@@ -40,3 +40,23 @@
     CHECK(tracker.first_reported_after(watched_kind::configurations, {109}));
     CHECK_FALSE(tracker.first_reported_after(watched_kind::configurations, {110}));
 }
+
+// A revision that was assigned again was taken for the one of before.
+TEST_CASE("after a restore smaller revisions of the new era are newer than all of the earlier one")
+{
+    const local_time start{seconds{100}};
+    const auto configurations = watched_kind::configurations;
+    store_revision_tracker tracker;
+    tracker.record_local(configurations, {33, {1}});
+    tracker.record_remote({{{31, {2}}, {}, {}}}, start);
+    CHECK(tracker.first_reported_after(configurations, {33, {1}}) == start);
+    CHECK(tracker.newest_era() == store_era{2});
+    // A VM that was frozen during the restore reports what it had.
+    tracker.record_remote({{{40, {1}}, {}, {}}}, start + seconds{1});
+    CHECK(tracker.remote_revision(configurations) == store_revision{31, {2}});
+    tracker.record_local(configurations, {31, {2}});
+    CHECK(tracker.local_revisions().front() == store_revision{31, {2}});
+    // A VM of an earlier release reports no era.
+    tracker.record_remote({{{32, {}}, {}, {}}}, start + seconds{2});
+    CHECK(tracker.first_reported_after(configurations, {31, {2}}) == start + seconds{2});
+}
--- a/src/tests/store_sync_test.cpp
+++ b/src/tests/store_sync_test.cpp
@@ -67,6 +67,7 @@
         co_return changes;
     }
     task<> create(const std::string&, const std::string&, const nlohmann::json&) { co_return; }
+    [[nodiscard]] static store_era newest_era() { return {}; }
     void cancel_watch(const std::string& kind) { dropped_signal_of(kind).notify(); }
     void drop_connections()
     {
@@ -171,6 +172,14 @@
     CHECK(setup.announcements == (reported ? 0 : 1));
 }
 
+TEST_CASE("an era unknown to the store costs at most one round of calls in five seconds")
+{
+    stuck_watch_fixture setup;
+    setup.revisions.record_remote({{{1, {1000}}, {0}, {0}}}, boot_clock::now());
+    setup.run_until([] { return false; });
+    CHECK(setup.store.short_watches == 3);
+}
+
 TEST_CASE("a revision unknown to the store costs at most one round of calls in five seconds")
 {
     stuck_watch_fixture setup;
--- a/src/tests/store_watcher_test.cpp
+++ b/src/tests/store_watcher_test.cpp
@@ -46,6 +46,8 @@
     task<> create(const std::string&, const std::string&, const nlohmann::json&) { co_return; }
 
     void cancel_watch(const std::string&) {}
+    [[nodiscard]] store_era newest_era() const { return era; }
+    store_era era;
     void drop_connections() {}
 
     std::function<void()> before_failure;
@@ -161,6 +163,33 @@
     CHECK(std::ranges::count(store.watch_modes, read_mode::stale) == 5);
 }
 
+// The copy may be behind what is known, and even so it is what holds from now on.
+TEST_CASE("after a restore the kind is listed afresh and watched from a revision of the new era")
+{
+    asio::io_context io;
+    scripted_store store(
+        io, {{{}, {33, {1}}, {}}, {{}, {31, {2}}, {}}},
+        {{{}, {33, {1}}, {}}, {store_failure::history_gone, {}, {}}, {{}, {32, {2}}, {}}});
+    store.before_failure = [&] { store.era = {2}; };
+    const auto counts = run_watcher(io, store, short_timing);
+    CHECK(store.list_modes == std::vector{read_mode::stale, read_mode::fresh});
+    CHECK(store.watch_revisions == std::vector<std::uint64_t>{33, 33, 31, 32});
+    CHECK(counts.listings == 2);
+    CHECK(counts.recoveries == 1);
+}
+
+TEST_CASE("answers of a replica that was not restored yet change nothing and are checked afresh")
+{
+    asio::io_context io;
+    const store_event older{{"main", {40, {1}}, nullptr}, false};
+    scripted_store store(io, {{{}, {31, {2}}, {}}},
+                         {{{}, {40, {1}}, {older}}, {{}, {32, {2}}, {}}});
+    const auto counts = run_watcher(io, store, short_timing);
+    CHECK(store.watch_revisions == std::vector<std::uint64_t>{31, 31, 32});
+    CHECK(store.watch_modes.at(1) == read_mode::fresh);
+    CHECK(counts.change_batches == 1);
+}
+
 TEST_CASE("the watch call of each role")
 {
     const watch_timing timing{milliseconds{29'000}, milliseconds{1300}, milliseconds{2000}};
