Fix: An upstream that has left is not used again when the store is restored

What was seen: in the test, requests went to an upstream that had drained, or left, in the seconds that the store then lost, as the copy shows it ready. Cause: entries replaced what was known whatever their age; only a later start of the process counted. Class: an older copy of a state taken for news. Change: an entry of a later era changes nothing if its process started earlier than the known one, if it has written less, or if the known one drains and this one does not. An upstream that had been removed, and has not written since, is held back for twice the grace period: by then its removal is written again, or it is alive. Within an era nothing changes. Conclusion: sequence and start of the upstream itself tell its states apart, not the order of reading.

--- a/src/tests/upstream_registry_test.cpp
+++ b/src/tests/upstream_registry_test.cpp
@@ -190,3 +190,82 @@
     const auto& limit = registry.of_service("jobs").front()->limit;
     CHECK((limit != nullptr) == !restarted);
 }
+
+namespace {
+
+/** An entry that was read in an era of the store. */
+upstream_entry entry_in_era(std::uint64_t era, std::uint64_t sequence, std::int64_t incarnation = 1)
+{
+    auto item = entry(1, incarnation);
+    item.era = {era};
+    item.sequence = sequence;
+    return item;
+}
+
+} // namespace
+
+// A restored store shows upstreams as they were; one that had begun to leave was used again.
+TEST_CASE("a restored store that shows an upstream in an older state changes nothing")
+{
+    upstream_registry registry(seconds{2});
+    auto draining = entry_in_era(1, 8);
+    draining.draining = true;
+    registry.put(draining, start);
+    SECTION("before it began to drain")
+    {
+        registry.put(entry_in_era(2, 5), start);
+        registry.expire(start + seconds{60});
+        CHECK(usable(registry) == 0);
+        auto later = entry_in_era(2, 9);
+        later.draining = true;
+        registry.put(later, start + seconds{60});
+        CHECK(usable(registry) == 0);
+    }
+    SECTION("an earlier process under its id")
+    {
+        registry.put(entry_in_era(1, 1, 2), start);
+        registry.put(entry_in_era(2, 9, 1), start);
+        CHECK(registry.of_service("jobs").front()->entry.start_time_ms == 2);
+    }
+    SECTION("but a process that started after the restore counts")
+    {
+        registry.put(entry_in_era(2, 1, 2), start);
+        CHECK(usable(registry) == 1);
+    }
+}
+
+TEST_CASE("an upstream that has left is held back if a restored store shows it again")
+{
+    upstream_registry registry(seconds{2});
+    registry.put(entry_in_era(1, 8), start);
+    registry.remove("u-1", start);
+    registry.put(entry_in_era(2, 5), start + seconds{3});
+    CHECK(usable(registry) == 0);
+    SECTION("until it is removed again")
+    {
+        registry.remove("u-1", start + seconds{4});
+        registry.expire(start + seconds{60});
+        CHECK(usable(registry) == 0);
+    }
+    SECTION("or has written since")
+    {
+        registry.put(entry_in_era(2, 9), start + seconds{4});
+        CHECK(usable(registry) == 1);
+    }
+    SECTION("or is still registered after twice the grace period")
+    {
+        registry.expire(start + milliseconds{6900});
+        CHECK(usable(registry) == 0);
+        registry.expire(start + milliseconds{7100});
+        CHECK(usable(registry) == 1);
+    }
+}
+
+TEST_CASE("an upstream that registers again in the same era is used at once")
+{
+    upstream_registry registry(seconds{2});
+    registry.put(entry_in_era(2, 8), start);
+    registry.remove("u-1", start);
+    registry.put(entry_in_era(2, 8), start + seconds{1});
+    CHECK(usable(registry) == 1);
+}
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -11,8 +11,30 @@
 constexpr double mass_expiry_share = 0.5;
 /** Fewer removals than this are never treated as a mass expiry. */
 constexpr std::size_t min_mass_expiry = 4;
-/** Upstreams whose entries lapsed in a store outage register again within this time. */
-constexpr seconds dropped_limit_lifetime{60};
+/** Upstreams whose entries lapsed in an outage register again within this time, and a restored
+ * store is not older. */
+constexpr seconds dropped_lifetime{60};
+
+/** True if a restored store shows an entry that is older than the one that was known before. */
+bool is_from_older_copy(const upstream_entry& entry, const upstream_entry& known)
+{
+    if (entry.era <= known.era) {
+        return false;
+    }
+    if (entry.start_time_ms != known.start_time_ms) {
+        return entry.start_time_ms < known.start_time_ms;
+    }
+    // An upstream that drains does not become ready again.
+    return entry.sequence < known.sequence || (known.draining && !entry.draining);
+}
+
+/** True if a restored store shows the entry of a process whose entry was removed before, and that
+ * has not written since. */
+bool may_have_left(const upstream_entry& entry, const upstream_entry& dropped)
+{
+    return entry.era > dropped.era && entry.start_time_ms <= dropped.start_time_ms &&
+           entry.sequence <= dropped.sequence;
+}
 
 } // namespace
 
@@ -37,6 +59,10 @@
         return;
     }
     auto& item = *found->second;
+    if (is_from_older_copy(entry, item.entry)) {
+        item.lapsed_until.reset();
+        return;
+    }
     const bool unchanged = item.entry.start_time_ms == entry.start_time_ms &&
                            item.entry.service == entry.service &&
                            item.entry.endpoint == entry.endpoint && !item.removed;
@@ -47,6 +73,9 @@
         return;
     }
     item.lapsed_until.reset();
+    if (entry.sequence > item.entry.sequence) {
+        item.held_until.reset();
+    }
     item.entry = entry;
     item.cold_until = std::max(item.cold_until, now + entry.cold_remaining);
 }
@@ -56,15 +85,17 @@
     auto item = std::make_shared<upstream>();
     item->entry = entry;
     item->cold_until = now + entry.cold_remaining;
-    std::erase_if(dropped_, [now](const auto& pair) {
-        const auto& old = pair.second;
-        return old.cold_sends.empty(now) &&
-               (!old.limit || now - old.dropped_at >= dropped_limit_lifetime);
+    std::erase_if(dropped_, [now](const auto& old) {
+        return now - old.second.dropped_at >= dropped_lifetime;
     });
     if (const auto old = dropped_.extract(entry.id)) {
-        item->cold_sends = old.mapped().cold_sends;
-        if (old.mapped().start_time_ms == entry.start_time_ms) {
-            item->limit = old.mapped().limit;
+        const auto& dropped = old.mapped();
+        item->cold_sends = dropped.cold_sends;
+        if (dropped.entry.start_time_ms == entry.start_time_ms) {
+            item->limit = dropped.limit;
+        }
+        if (may_have_left(entry, dropped.entry)) {
+            item->held_until = now + hold_time();
         }
     }
     by_service_[entry.service].push_back(item);
@@ -113,6 +144,9 @@
         if (item->lapsed_until && *item->lapsed_until <= now) {
             expired.push_back(id);
         }
+        if (item->held_until && *item->held_until <= now) {
+            item->held_until.reset();
+        }
     }
     std::ranges::for_each(expired, [&](const std::string& id) { drop(id, now); });
 }
@@ -127,8 +161,8 @@
 {
     const auto found = by_id_.find(id);
     const auto item = found->second;
-    dropped_.insert_or_assign(
-        id, dropped_upstream{item->cold_sends, item->entry.start_time_ms, item->limit, now});
+    dropped_.insert_or_assign(id,
+                              dropped_upstream{item->cold_sends, item->entry, item->limit, now});
     by_id_.erase(found);
     mark_removed(*item);
     std::erase(by_service_[item->entry.service], item);
--- a/src/upstream_registry.hpp
+++ b/src/upstream_registry.hpp
@@ -17,6 +17,9 @@
  * An upstream whose entry disappears is removed, unless its lease may have lapsed because the store
  * was unavailable: it is then kept for a grace period after the store has recovered, and removed if
  * the entry is still missing at its end.
+ *
+ * A store restored from a copy may show an upstream that has left as ready. Its entry is held back
+ * for twice the grace period, within which its removal or its state is written again.
  */
 class upstream_registry {
 public:
@@ -27,11 +30,12 @@
     void store_recovered(local_time now) { grace_until_ = now + return_grace_; }
     /** Replaces all entries by a complete listing. */
     void replace_all(const std::vector<upstream_entry>& entries, local_time now);
-    /** Adds or updates an entry. */
+    /** Adds or updates an entry. One that a restored store shows in an older state than is known
+     * changes nothing. */
     void put(const upstream_entry& entry, local_time now);
     /** Handles an entry that was removed from the store or has become unreadable. */
     void remove(std::string_view id, local_time now);
-    /** Drops lapsed entries whose grace period has ended. */
+    /** Ends grace periods: drops lapsed entries, and allows the use of held ones. */
     void expire(local_time now);
     /** Excludes an upstream from use until it registers again, for example when a different one
      * answers at its address. */
@@ -51,7 +55,8 @@
     /** True if neither the registry nor an operator excludes the upstream from new requests. */
     [[nodiscard]] bool usable(const upstream& item) const
     {
-        return !item.removed && !item.entry.draining && !evacuated(item.entry.failure_domain);
+        return !item.removed && !item.held_until && !item.entry.draining &&
+               !evacuated(item.entry.failure_domain);
     }
     [[nodiscard]] std::size_t size() const { return by_id_.size(); }
     /** Calls @p visit(upstream&) for each entry. */
@@ -68,6 +73,8 @@
     static constexpr milliseconds mass_expiry_window{1000};
 
     void add(const upstream_entry& entry, local_time now);
+    /** How long an entry is held that may be one of an upstream that has left. */
+    [[nodiscard]] milliseconds hold_time() const { return 2 * return_grace_; }
     void drop(const std::string& id, local_time now);
     bool may_have_lapsed(const upstream& item, local_time now);
 
@@ -81,8 +88,8 @@
         /** Recent requests while it was cold: a probe reveals a restart before the registry does,
          * and one limit applies to both. */
         sliding_count cold_sends;
-        /** The limit that it advertises holds as long as its process runs. */
-        std::int64_t start_time_ms = 0;
+        upstream_entry entry;
+        /** Holds as long as the upstream's process runs. */
         std::shared_ptr<upstream_limit> limit;
         local_time dropped_at;
     };
--- a/src/upstream_type.hpp
+++ b/src/upstream_type.hpp
@@ -3,6 +3,7 @@
 
 #include "clock_type.hpp"
 #include "sliding_count.hpp"
+#include "strong_id.hpp"
 
 #include <asio/ip/tcp.hpp>
 
@@ -38,6 +39,10 @@
     milliseconds cold_remaining{0};
     /** Unix time of its start in ms; identifies the incarnation. 0 if not stated. */
     std::int64_t start_time_ms = 0;
+    /** Counts what its process has written of itself; 0 if not stated. */
+    std::uint64_t sequence = 0;
+    /** Era of the store that the entry was read in. */
+    store_era era;
 };
 
 /** Load as reported by an upstream. */
@@ -108,6 +113,9 @@
     /** Set if the entry may have lapsed during a store outage; the upstream is removed at this time
      * unless the entry returns. */
     std::optional<local_time> lapsed_until;
+    /** Set while the entry, which a restored store shows, may be one of an upstream that has left;
+     * the upstream is not used before this time. */
+    std::optional<local_time> held_until;
     /** Requests of this VM that the upstream is processing. */
     unsigned in_flight = 0;
     /** The last load report, the time it was received, and requests that this VM has sent since. */
