Fix: An evacuation that a restored store has lost holds until it is written again

What was seen: in the test, requests went to an evacuated failure domain right after the restore. Cause: the listing after a restore replaces what was known; the copy does not have the newest evacuations. Change: evacuations that the first listing of a later era lacks hold for the grace period of entries (2 s), unless the operator takes the domain back; written again, they hold on. Conclusion: what operators ordered outlives the store that forgot it for as long as they need to repeat it.

--- a/src/store_sync.cpp
+++ b/src/store_sync.cpp
@@ -4,6 +4,7 @@
 #include "event_type.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace sniperock {
 
@@ -125,6 +126,10 @@
     for (const auto& object : listing.objects) {
         evacuated_.insert(object.name);
     }
+    const auto known_era = std::exchange(evacuations_era_, listing.at_revision.era);
+    if (listing.at_revision.era > known_era) {
+        registry_.set_evacuated_after_restore(evacuated_, boot_clock::now());
+    }
     publish_evacuations();
     on_change_();
 }
@@ -134,6 +139,7 @@
     for (const auto& change : changes.events) {
         if (change.deleted) {
             evacuated_.erase(change.object.name);
+            registry_.end_evacuation(change.object.name);
         }
         else {
             evacuated_.insert(change.object.name);
--- a/src/store_sync.hpp
+++ b/src/store_sync.hpp
@@ -51,6 +51,8 @@
     metrics& metrics_;
     std::function<void()> on_change_;
     std::set<std::string, std::less<>> evacuated_;
+    /** Era of the last listing of evacuations. */
+    store_era evacuations_era_;
     std::optional<local_time> configured_at_;
 };
 
--- a/src/tests/upstream_registry_test.cpp
+++ b/src/tests/upstream_registry_test.cpp
@@ -269,3 +269,29 @@
     registry.put(entry_in_era(2, 8), start + seconds{1});
     CHECK(usable(registry) == 1);
 }
+
+TEST_CASE("an evacuation that a restored store has lost holds for the grace period")
+{
+    auto registry = ten_upstreams();
+    registry.set_evacuated({"north"});
+    registry.set_evacuated_after_restore({}, start);
+    CHECK(registry.evacuated("north"));
+    SECTION("and ends then")
+    {
+        registry.expire(start + milliseconds{1900});
+        CHECK(registry.evacuated("north"));
+        registry.expire(start + milliseconds{2100});
+        CHECK_FALSE(registry.evacuated("north"));
+    }
+    SECTION("or longer if it is written again")
+    {
+        registry.set_evacuated({"north"});
+        registry.expire(start + seconds{60});
+        CHECK(registry.evacuated("north"));
+    }
+    SECTION("or until an operator takes the domain back")
+    {
+        registry.end_evacuation("north");
+        CHECK_FALSE(registry.evacuated("north"));
+    }
+}
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -148,9 +148,21 @@
             item->held_until.reset();
         }
     }
+    std::erase_if(lost_evacuations_, [now](const auto& item) { return item.second <= now; });
     std::ranges::for_each(expired, [&](const std::string& id) { drop(id, now); });
 }
 
+void upstream_registry::set_evacuated_after_restore(std::set<std::string, std::less<>> domains,
+                                                    local_time now)
+{
+    for (const auto& domain : evacuated_) {
+        if (!domains.contains(domain)) {
+            lost_evacuations_.insert_or_assign(domain, now + return_grace_);
+        }
+    }
+    evacuated_ = std::move(domains);
+}
+
 void upstream_registry::mark_removed(upstream& item)
 {
     item.removed = true;
--- a/src/upstream_registry.hpp
+++ b/src/upstream_registry.hpp
@@ -35,7 +35,8 @@
     void put(const upstream_entry& entry, local_time now);
     /** Handles an entry that was removed from the store or has become unreadable. */
     void remove(std::string_view id, local_time now);
-    /** Ends grace periods: drops lapsed entries, and allows the use of held ones. */
+    /** Ends grace periods: drops lapsed entries, and allows the use of held ones; ends
+     * evacuations that a restored store has lost. */
     void expire(local_time now);
     /** Excludes an upstream from use until it registers again, for example when a different one
      * answers at its address. */
@@ -46,9 +47,20 @@
     {
         evacuated_ = std::move(domains);
     }
+    /** Sets the evacuated domains of a restored store, which may have lost the newest: those that
+     * it no longer names stay evacuated for the grace period. */
+    void set_evacuated_after_restore(std::set<std::string, std::less<>> domains, local_time now);
+    /** An operator has taken a domain back. */
+    void end_evacuation(std::string_view domain)
+    {
+        const auto found = lost_evacuations_.find(domain);
+        if (found != lost_evacuations_.end()) {
+            lost_evacuations_.erase(found);
+        }
+    }
     [[nodiscard]] bool evacuated(std::string_view domain) const
     {
-        return evacuated_.contains(domain);
+        return evacuated_.contains(domain) || lost_evacuations_.contains(domain);
     }
     /** All upstreams of a service, in any state. */
     [[nodiscard]] const std::vector<upstream_ptr>& of_service(std::string_view service) const;
@@ -83,6 +95,8 @@
     std::map<std::string, upstream_ptr, std::less<>> by_id_;
     std::map<std::string, std::vector<upstream_ptr>, std::less<>> by_service_;
     std::set<std::string, std::less<>> evacuated_;
+    /** Evacuations that a restored store may have lost, and when they end unless written again. */
+    std::map<std::string, local_time, std::less<>> lost_evacuations_;
     /** What is kept of a dropped entry, in case its upstream registers again. */
     struct dropped_upstream {
         /** Recent requests while it was cold: a probe reveals a restart before the registry does,
