Fix: A VM registers again in a store that was restored

What was seen: in the test, the registration of the fleet's first VM stayed lost; VMs whose seeds are gone would not have found the fleet any more. Cause: a VM registers once in its life; what it wrote is lost with the store's last seconds, and nobody writes it again. Class: a write taken for lasting although the store has gone back behind it. Change: it registers once in each era of the store; an existing object is left as it is.

--- a/src/store_sync.hpp
+++ b/src/store_sync.hpp
@@ -163,15 +163,17 @@
      */
     task<> register_vm()
     {
-        if (std::exchange(registered_, true)) {
+        const auto era = store_.newest_era();
+        if (registered_in_ && *registered_in_ >= era) {
             co_return;
         }
+        registered_in_ = era;
         try {
             const nlohmann::json spec{{"address", address_of(settings_.callers_listen)}};
             co_await store_.create(schema_.vms, settings_.vm_name, spec);
         }
         catch (const store_error& error) {
-            registered_ = false;
+            registered_in_.reset();
             log_event(event::vm_not_registered, {{"reason", error.what()}});
         }
     }
@@ -213,7 +215,8 @@
     store_watcher<Store> evacuations_;
     store_liveness_probe<Store> liveness_probe_;
     store_role role_ = store_role::follower;
-    bool registered_ = false;
+    /** Era of the store in which this VM has registered; a restored store may have lost it. */
+    std::optional<store_era> registered_in_;
 };
 
 } // namespace sniperock
