Change: VMs report the limits of upstreams to each other

Cause: a limit holds for all machines together, but each VM learned of it only from answers of its own. One that was not told went on by its load, up to a request each at hundreds of VMs; one whose share excludes the upstream learned of the end only if probes show it, or by rotation: at 473 VMs and 1 a second a VM has a share in one of 118 spans of 10 s (worked out). Change: heartbeats carry up to 40 limits, or ends of one, that an answer has shown in the last 5 s, with their age; newer ones are taken over. No bytes while no upstream advertises a limit but an empty list.

--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -74,7 +74,13 @@
           members(describe_self(settings, make_incarnation(random)), settings.member_silence),
           gossip(io, members, revision_tracker, settings.member_heartbeat, random,
                  {[this] { return sync.store_answers(); },
-                  [this] { sync.check_store(boot_clock::now()); }}),
+                  [this] { sync.check_store(boot_clock::now()); },
+                  [this](std::size_t max_reports) {
+                      return recent_limits(registry, max_reports, random, boot_clock::now());
+                  },
+                  [this](const limit_report& report) {
+                      apply_limit_report(registry, report, boot_clock::now());
+                  }}),
           store(io, endpoint_of(settings.store_address), settings.store_timeout, process_metrics),
           applier(adapter.schema, routes, registry, process_metrics, [this] { store_changed(); }),
           sync(io, store, adapter.schema, settings, applier, registry, revision_tracker, random,
--- a/src/member_gossip.cpp
+++ b/src/member_gossip.cpp
@@ -9,6 +9,7 @@
 #include <msgpack.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <ranges>
 
 namespace sniperock {
@@ -22,6 +23,8 @@
 constexpr std::size_t max_new_entries = 10;
 constexpr std::size_t max_wanted_entries = 60;
 constexpr std::size_t max_updates = 160;
+/** Maximum number of upstreams whose limits a heartbeat carries, some 30 bytes each. */
+constexpr std::size_t max_limits = 40;
 /** Version of the wire format; datagrams of other versions are dropped. */
 constexpr unsigned format_version = 1;
 /** With fewer VMs alive than this, heartbeats are also sent to the seeds each period. */
@@ -38,6 +41,11 @@
 constexpr std::size_t updates_index = 4;
 constexpr std::size_t wanted_index = 5;
 constexpr std::size_t eras_index = 6;
+constexpr std::size_t limits_index = 7;
+/** Stands for a limit that has ended. */
+constexpr double ended_limit = -1;
+/** Id of the upstream, its limit (negative if it has ended), whether probes show it, age in ms. */
+using wire_limit = std::tuple<std::string, double, bool, std::uint32_t>;
 using wire_update = std::tuple<std::uint32_t, std::uint64_t, std::uint64_t, std::uint8_t>;
 
 /** Limits on a decoded heartbeat, so that lengths in corrupt bytes do not cause allocations. */
@@ -84,6 +92,15 @@
             decoded.revisions.at(i).era = {eras.at(i)};
         }
     }
+    if (fields.size > limits_index) {
+        for (const auto& [id, per_s, in_probes, age_ms] :
+             fields.ptr[limits_index].as<std::vector<wire_limit>>()) {
+            if (std::isfinite(per_s)) {
+                decoded.limits.push_back({id, per_s < 0 ? std::nullopt : std::optional{per_s},
+                                          in_probes, milliseconds{age_ms}});
+            }
+        }
+    }
     if (fields.size > wanted_index) {
         const auto wanted = fields.ptr[wanted_index].as<std::vector<std::uint32_t>>();
         std::ranges::transform(wanted, std::back_inserter(decoded.wanted), to_address);
@@ -117,10 +134,16 @@
         updates.emplace_back(to_number(update.address), update.incarnation_id.value,
                              update.sequence, static_cast<std::uint8_t>(update.state));
     }
+    std::vector<wire_limit> limits;
+    std::ranges::transform(
+        message.limits, std::back_inserter(limits), [](const limit_report& report) {
+            return wire_limit{report.upstream_id, report.per_s.value_or(ended_limit),
+                              report.in_probes, static_cast<std::uint32_t>(report.age.count())};
+        });
     std::vector<std::uint32_t> wanted;
     std::ranges::transform(message.wanted, std::back_inserter(wanted), to_number);
     msgpack::pack(buffer, std::tuple{format_version, entries, revisions, message.store_answers,
-                                     updates, wanted, eras});
+                                     updates, wanted, eras, limits});
     return {buffer.data(), buffer.size()};
 }
 
@@ -178,6 +201,7 @@
 {
     auto message = make_heartbeat(table_.new_entries(max_new_entries, now));
     message.updates = table_.updates(max_updates, random_, now);
+    message.limits = callbacks_.limits(max_limits);
     return encode_heartbeat(message);
 }
 
@@ -280,6 +304,7 @@
 {
     const auto now = boot_clock::now();
     revisions_.record_remote(received.revisions, now);
+    std::ranges::for_each(received.limits, callbacks_.on_limit);
     if (!received.store_answers) {
         callbacks_.on_store_outage();
     }
--- a/src/member_gossip.hpp
+++ b/src/member_gossip.hpp
@@ -4,6 +4,7 @@
 #include "async_func.hpp"
 #include "member_table.hpp"
 #include "store_news.hpp"
+#include "upstream_limit.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
@@ -28,6 +29,8 @@
     std::vector<member_update> updates{};
     /** Addresses of VMs whose entries the sender asks for. */
     std::vector<std::string> wanted{};
+    /** Limits of upstreams that the sender has seen, or heard of, lately. */
+    std::vector<limit_report> limits{};
 };
 
 /** Encodes a heartbeat for the wire. */
@@ -41,6 +44,12 @@
     std::function<bool()> store_answers = [] { return true; };
     /** Another VM reports that the store does not answer it. */
     std::function<void()> on_store_outage = [] {};
+    /** The limits of upstreams to report, at most so many. */
+    std::function<std::vector<limit_report>(std::size_t max_reports)> limits = [](std::size_t) {
+        return std::vector<limit_report>{};
+    };
+    /** Another VM reports the limit of an upstream. */
+    std::function<void(const limit_report&)> on_limit = [](const limit_report&) {};
 };
 
 /**
--- a/src/tests/upstream_limit_test.cpp
+++ b/src/tests/upstream_limit_test.cpp
@@ -57,3 +57,62 @@
         CHECK_FALSE(parse_rate(text));
     }
 }
+
+namespace {
+
+/** The registry of a VM with one upstream. */
+struct vm_view {
+    vm_view()
+    {
+        upstream_entry entry;
+        entry.id = "u-1";
+        entry.service = "jobs";
+        registry.put(entry, start);
+    }
+    void tell(vm_view& other, local_time now)
+    {
+        random_engine random{1};
+        for (const auto& report : recent_limits(registry, 40, random, now)) {
+            apply_limit_report(other.registry, report, now);
+        }
+    }
+    [[nodiscard]] upstream& item() const { return *registry.find("u-1"); }
+
+    upstream_registry registry{seconds{2}};
+};
+
+} // namespace
+
+// A VM that was not told would go on by its load; one without a share would never learn of the end.
+TEST_CASE("VMs learn from each other that a limit begins and ends")
+{
+    vm_view told;
+    vm_view other;
+    vm_view third;
+    observe_limit(told.item(), {2, limit_source::answer, at(0)}, at(100));
+    told.tell(other, at(600));
+    CHECK(advertised_limit(other.item()) == 2);
+    other.tell(third, at(1100));
+    CHECK(advertised_limit(third.item()) == 2);
+    observe_limit(told.item(), {std::nullopt, limit_source::answer, at(2000)}, at(2100));
+    told.tell(other, at(2600));
+    CHECK_FALSE(advertised_limit(other.item()));
+    SECTION("an older report does not bring it back")
+    {
+        third.tell(other, at(2700));
+        CHECK_FALSE(advertised_limit(other.item()));
+    }
+    SECTION("nor does what a VM has of a limit for long")
+    {
+        vm_view restarted;
+        third.tell(restarted, at(20'000));
+        CHECK_FALSE(advertised_limit(restarted.item()));
+    }
+}
+
+TEST_CASE("a report of an upstream that is not known is ignored")
+{
+    vm_view vm;
+    apply_limit_report(vm.registry, {"u-9", 1.0, false, milliseconds{0}}, start);
+    CHECK(vm.registry.find("u-9") == nullptr);
+}
--- a/src/upstream_limit.cpp
+++ b/src/upstream_limit.cpp
@@ -3,9 +3,11 @@
 
 #include "event_type.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <cstdio>
+#include <iterator>
 #include <string>
 
 namespace sniperock {
@@ -13,6 +15,11 @@
 
 /** A limit that changes by less than this fraction is not logged again. */
 constexpr double min_logged_change = 0.2;
+/** An answer is reported to other VMs for this time. */
+constexpr seconds report_time{5};
+/** A report is newer only by more than this, since its age lacks the time that it was on its way.
+ */
+constexpr milliseconds report_delay{250};
 
 std::string rate_text(double per_s)
 {
@@ -35,11 +42,11 @@
                                         {"source", std::string{to_name(source)}}});
 }
 
-void end_limit(upstream& item, limit_source source, local_time now)
+void end_limit(upstream& item, limit_source source, local_time observed_at)
 {
     item.limit->per_s.reset();
     item.limit->logged_per_s.reset();
-    item.limit->observed_at = now;
+    item.limit->observed_at = observed_at;
     log_event(event::upstream_unlimited, {{"upstream", item.entry.id},
                                           {"service", item.entry.service},
                                           {"source", std::string{to_name(source)}}});
@@ -68,4 +75,53 @@
     log_limit(item, *observation.per_s, observation.source);
 }
 
+std::vector<limit_report> recent_limits(const upstream_registry& registry, std::size_t max_reports,
+                                        random_engine& random, local_time now)
+{
+    std::vector<const upstream*> recent;
+    registry.for_each([&](const upstream& item) {
+        if (item.limit && now - item.limit->observed_at < report_time) {
+            recent.push_back(&item);
+        }
+    });
+    std::vector<const upstream*> picked;
+    std::ranges::sample(recent, std::back_inserter(picked),
+                        static_cast<std::ptrdiff_t>(max_reports), random);
+    std::vector<limit_report> reports;
+    std::ranges::transform(picked, std::back_inserter(reports), [now](const upstream* item) {
+        const auto& limit = *item->limit;
+        return limit_report{item->entry.id, limit.per_s, limit.in_probes,
+                            std::chrono::duration_cast<milliseconds>(now - limit.observed_at)};
+    });
+    return reports;
+}
+
+void apply_limit_report(const upstream_registry& registry, const limit_report& report,
+                        local_time now)
+{
+    auto* const item = registry.find(report.upstream_id);
+    if (item == nullptr || report.age >= report_time) {
+        return;
+    }
+    const auto observed_at = now - report.age;
+    auto& state = item->limit;
+    if (state ? observed_at <= state->observed_at + report_delay : !report.per_s) {
+        return;
+    }
+    if (!report.per_s) {
+        if (state->per_s) {
+            end_limit(*item, limit_source::peer, observed_at);
+        }
+        return;
+    }
+    if (!state) {
+        state = std::make_shared<upstream_limit>();
+    }
+    state->per_s = report.per_s;
+    state->observed_at = observed_at;
+    state->in_answers = true;
+    state->in_probes = state->in_probes || report.in_probes;
+    log_limit(*item, *report.per_s, limit_source::peer);
+}
+
 } // namespace sniperock
--- a/src/upstream_registry.hpp
+++ b/src/upstream_registry.hpp
@@ -70,6 +70,12 @@
         return !item.removed && !item.held_until && !item.entry.draining &&
                !evacuated(item.entry.failure_domain);
     }
+    /** The upstream with an id; null if its entry is not known. */
+    [[nodiscard]] upstream* find(std::string_view id) const
+    {
+        const auto found = by_id_.find(id);
+        return found == by_id_.end() ? nullptr : found->second.get();
+    }
     [[nodiscard]] std::size_t size() const { return by_id_.size(); }
     /** Calls @p visit(upstream&) for each entry. */
     template <typename Visit>
