Codechange: Lint of the eras and limits

Cause: the linter finds initialisers without the new member. Change: the era has a default; a comparison names what it compares.

--- a/src/strong_id.hpp
+++ b/src/strong_id.hpp
@@ -32,13 +32,13 @@
  */
 struct store_revision {
     std::uint64_t value = 0;
-    store_era era;
+    store_era era{};
 
     friend constexpr bool operator==(const store_revision&, const store_revision&) = default;
     friend constexpr auto operator<=>(const store_revision& left, const store_revision& right)
     {
         const auto by_era = left.era <=> right.era;
-        return by_era != 0 ? by_era : left.value <=> right.value;
+        return std::is_neq(by_era) ? by_era : left.value <=> right.value;
     }
 };
 
--- a/src/upstream_type.hpp
+++ b/src/upstream_type.hpp
@@ -42,7 +42,7 @@
     /** Counts what its process has written of itself; 0 if not stated. */
     std::uint64_t sequence = 0;
     /** Era of the store that the entry was read in. */
-    store_era era;
+    store_era era{};
 };
 
 /** Load as reported by an upstream. */
