--- a/src/tests/rate_limit_test.cpp
+++ b/src/tests/rate_limit_test.cpp
@@ -162,6 +162,29 @@
     CHECK_FALSE(rate_limit_allows(item, {"vm-1", {"vm-1"}, false}, start));
 }
 
+// VMs that start or stop are known to the others at different times.
+TEST_CASE("VMs with different views of the fleet stay within what breaks a limit")
+{
+    for (const int vms : {2, 13, 104, 473}) {
+        for (const double per_s : {1.0, 2.1, 20.0}) {
+            CAPTURE(vms, per_s);
+            const auto names = vm_names(vms);
+            std::size_t sum = 0;
+            for (std::size_t i = 0; i < names.size(); ++i) {
+                auto view = names;
+                // Half of the VMs do not know a tenth of the others, but one at least.
+                const auto missing = i % 2 == 0 ? std::max<std::size_t>(names.size() / 10, 1) : 0;
+                std::erase_if(view, [&](const std::string& name) {
+                    return name != names[i] && std::ranges::find(names, name) - names.begin() <
+                                                   static_cast<std::ptrdiff_t>(missing);
+                });
+                sum += share_of_limit(per_s, "u-1", seconds{0}, {names[i], view, true}).requests;
+            }
+            CHECK(static_cast<double>(sum) <= allowed(per_s));
+        }
+    }
+}
+
 TEST_CASE("an upstream without a limit may be used by every VM")
 {
     upstream item;
