--- a/src/tests/rate_limit_test.cpp
+++ b/src/tests/rate_limit_test.cpp
@@ -35,9 +35,11 @@
 /** A fleet of which every VM knows the same upstream and sends it as much as it may. */
 class eager_fleet {
 public:
-    explicit eager_fleet(int vms, const std::string& upstream_id = "u-1") : names_(vm_names(vms))
+    explicit eager_fleet(int vms, const std::string& upstream_id = "u-1")
     {
-        for (int i = 0; i < vms; ++i) {
+        const auto names = vm_names(vms);
+        for (const auto& name : names) {
+            fleets_.push_back({name, names, true});
             views_.push_back(std::make_unique<upstream>());
             views_.back()->entry.id = upstream_id;
         }
@@ -53,8 +55,7 @@
     {
         for (auto now = from; now < until; now += milliseconds{20}) {
             for (std::size_t i = 0; i < views_.size(); ++i) {
-                const fleet_view fleet{names_[i], names_, true};
-                while (rate_limit_allows(*views_[i], fleet, now)) {
+                while (rate_limit_allows(*views_[i], fleets_[i], now)) {
                     count_limited_send(*views_[i], now);
                     sent_.add(now);
                     ++total_;
@@ -67,7 +68,8 @@
     [[nodiscard]] std::size_t total() const { return total_; }
 
 private:
-    std::vector<std::string> names_;
+    /** By VM: the fleet as it knows it, and the upstream. */
+    std::vector<fleet_view> fleets_;
     std::vector<std::unique_ptr<upstream>> views_;
     sliding_count sent_{rule_window};
     std::size_t most_ = 0;
@@ -128,10 +130,10 @@
     const auto names = vm_names(vms);
     std::size_t without_any = 0;
     for (const auto& name : names) {
+        const fleet_view fleet{name, names, true};
         std::size_t own = 0;
         for (int i = 0; i < upstreams; ++i) {
-            own += share_of_limit(1, "u-" + std::to_string(i), seconds{0}, {name, names, true})
-                       .requests;
+            own += share_of_limit(1, "u-" + std::to_string(i), seconds{0}, fleet).requests;
         }
         without_any += own == 0 ? 1 : 0;
         CHECK(own <= 25);
