Fix: A limit that only probes show does not end with an answer at VMs told by another

What was seen: reading the change; the test then ended the limit at a VM that had heard of it from another. Cause: a report did not tell which answers name the limit, and the receiver took it that answers to requests do. The next of these, which never name it, so lifted the limit. Class: a guess in place of a fact that the sender has. Change: reports carry both facts.

--- a/src/member_gossip.cpp
+++ b/src/member_gossip.cpp
@@ -44,8 +44,9 @@
 constexpr std::size_t limits_index = 7;
 /** Stands for a limit that has ended. */
 constexpr double ended_limit = -1;
-/** Id of the upstream, its limit (negative if it has ended), whether probes show it, age in ms. */
-using wire_limit = std::tuple<std::string, double, bool, std::uint32_t>;
+/** Id of the upstream, its limit (negative if it has ended), whether answers to probes and to
+ * requests show it, age in ms. */
+using wire_limit = std::tuple<std::string, double, bool, bool, std::uint32_t>;
 using wire_update = std::tuple<std::uint32_t, std::uint64_t, std::uint64_t, std::uint8_t>;
 
 /** Limits on a decoded heartbeat, so that lengths in corrupt bytes do not cause allocations. */
@@ -93,11 +94,11 @@
         }
     }
     if (fields.size > limits_index) {
-        for (const auto& [id, per_s, in_probes, age_ms] :
+        for (const auto& [id, per_s, in_probes, in_answers, age_ms] :
              fields.ptr[limits_index].as<std::vector<wire_limit>>()) {
             if (std::isfinite(per_s)) {
                 decoded.limits.push_back({id, per_s < 0 ? std::nullopt : std::optional{per_s},
-                                          in_probes, milliseconds{age_ms}});
+                                          in_probes, in_answers, milliseconds{age_ms}});
             }
         }
     }
@@ -138,7 +139,8 @@
     std::ranges::transform(
         message.limits, std::back_inserter(limits), [](const limit_report& report) {
             return wire_limit{report.upstream_id, report.per_s.value_or(ended_limit),
-                              report.in_probes, static_cast<std::uint32_t>(report.age.count())};
+                              report.in_probes, report.in_answers,
+                              static_cast<std::uint32_t>(report.age.count())};
         });
     std::vector<std::uint32_t> wanted;
     std::ranges::transform(message.wanted, std::back_inserter(wanted), to_number);
--- a/src/tests/member_table_test.cpp
+++ b/src/tests/member_table_test.cpp
@@ -204,13 +204,14 @@
 TEST_CASE("a decoded heartbeat equals what was encoded")
 {
     const std::vector<member_entry> entries{entry(1, 7, 3), entry(2, 8, 4, member_state::leaving)};
-    const auto received = decode_heartbeat(encode_heartbeat(
-        {entries,
-         {{{5, {1}}, {6, {2}}, {7, {2}}}},
-         false,
-         {{"10.0.0.9", {3}, 4, member_state::ready}},
-         {"10.0.0.8"},
-         {{"u-1", 1.7, true, milliseconds{250}}, {"u-2", std::nullopt, false, milliseconds{0}}}}));
+    const auto received =
+        decode_heartbeat(encode_heartbeat({entries,
+                                           {{{5, {1}}, {6, {2}}, {7, {2}}}},
+                                           false,
+                                           {{"10.0.0.9", {3}, 4, member_state::ready}},
+                                           {"10.0.0.8"},
+                                           {{"u-1", 1.7, true, false, milliseconds{250}},
+                                            {"u-2", std::nullopt, false, true, milliseconds{0}}}}));
     REQUIRE(received);
     CHECK_FALSE(received->store_answers);
     REQUIRE(received->updates.size() == 1);
@@ -223,6 +224,8 @@
     CHECK(received->limits.front().upstream_id == "u-1");
     CHECK(received->limits.front().per_s == 1.7);
     CHECK(received->limits.front().in_probes);
+    CHECK_FALSE(received->limits.front().in_answers);
+    CHECK(received->limits.back().in_answers);
     CHECK(received->limits.front().age == milliseconds{250});
     CHECK_FALSE(received->limits.back().per_s);
     const auto* const decoded = &received->entries;
--- a/src/tests/upstream_limit_test.cpp
+++ b/src/tests/upstream_limit_test.cpp
@@ -110,9 +110,23 @@
     }
 }
 
+// Else the next answer, which never names the limit, would lift it at each VM that heard of it.
+TEST_CASE(
+    "a limit that only probes show does not end with an answer at a VM that was told by another")
+{
+    vm_view told;
+    vm_view other;
+    observe_limit(told.item(), {2, limit_source::probe, at(0)}, at(100));
+    told.tell(other, at(600));
+    observe_limit(other.item(), {std::nullopt, limit_source::answer, at(700)}, at(800));
+    CHECK(advertised_limit(other.item()) == 2);
+    observe_limit(other.item(), {std::nullopt, limit_source::probe, at(900)}, at(1000));
+    CHECK_FALSE(advertised_limit(other.item()));
+}
+
 TEST_CASE("a report of an upstream that is not known is ignored")
 {
     vm_view vm;
-    apply_limit_report(vm.registry, {"u-9", 1.0, false, milliseconds{0}}, start);
+    apply_limit_report(vm.registry, {"u-9", 1.0, false, true, milliseconds{0}}, start);
     CHECK(vm.registry.find("u-9") == nullptr);
 }
--- a/src/upstream_limit.cpp
+++ b/src/upstream_limit.cpp
@@ -90,7 +90,7 @@
     std::vector<limit_report> reports;
     std::ranges::transform(picked, std::back_inserter(reports), [now](const upstream* item) {
         const auto& limit = *item->limit;
-        return limit_report{item->entry.id, limit.per_s, limit.in_probes,
+        return limit_report{item->entry.id, limit.per_s, limit.in_probes, limit.in_answers,
                             std::chrono::duration_cast<milliseconds>(now - limit.observed_at)};
     });
     return reports;
@@ -119,8 +119,8 @@
     }
     state->per_s = report.per_s;
     state->observed_at = observed_at;
-    state->in_answers = true;
     state->in_probes = state->in_probes || report.in_probes;
+    state->in_answers = state->in_answers || report.in_answers;
     log_limit(*item, *report.per_s, limit_source::peer);
 }
 
--- a/src/upstream_limit.hpp
+++ b/src/upstream_limit.hpp
@@ -51,8 +51,9 @@
     std::string upstream_id;
     /** Requests per second; empty if the limit has ended. */
     std::optional<double> per_s;
-    /** Answers to probes advertise it. */
+    /** Whether answers to probes, or to requests, advertise it. */
     bool in_probes = false;
+    bool in_answers = false;
     /** Time since an answer showed it. */
     milliseconds age{0};
 };
