Fix: A VM that starts in a restored store waits for what the others know

Cause: a VM that starts between a restore and the next write of what was lost has only the copy. It used the configuration before the newest one, and upstreams that had left; the others knew better, but heartbeats carried revisions only, which say nothing of content across eras.

A restore that the others have not noticed yet is known from their older era. It ends after 10 s at most, as what was lost may stay lost. SR106 and SR107 tell of it. Until a seed has answered the first heartbeat, 0.15 s at most, requests are refused too.

Ruled out: handing the configuration itself to the new VM would make the VMs a second store.

--- a/src/call.cpp
+++ b/src/call.cpp
@@ -66,7 +66,7 @@
 
 bool call::find_route()
 {
-    if (!table_) {
+    if (!table_ || context_.outdated) {
         refuse(call_end::no_configuration);
         return false;
     }
--- a/src/call_context.hpp
+++ b/src/call_context.hpp
@@ -55,6 +55,9 @@
     probe_budget probes;
     /** The fleet according to heartbeats; refreshed every second. */
     fleet_view fleet;
+    /** This VM has just started, and its configuration and registry may be older than those of the
+     * others: it refuses all requests. */
+    bool outdated = false;
     std::map<std::string, retry_budget, std::less<>> budgets;
     local_time started = boot_clock::now();
 
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -6,6 +6,7 @@
 #include "directory.hpp"
 #include "entry_leaving.hpp"
 #include "entry_settings_func.hpp"
+#include "entry_start.hpp"
 #include "event_type.hpp"
 #include "member_gossip.hpp"
 #include "store_client.hpp"
@@ -30,6 +31,8 @@
 /** Time after the start until a VM knows enough of the fleet to compute its shares of the limits
  * on the whole fleet. */
 constexpr milliseconds settle_time{2500};
+/** Seeds that run answer the first heartbeat of a VM within this time. */
+constexpr milliseconds first_report_time{150};
 /** Interval at which a VM that knows no other VM searches the store for the fleet. */
 constexpr seconds discovery_period{5};
 /** A request with a larger body is sent on before its body is complete. A shorter one costs less
@@ -72,6 +75,7 @@
           calls(io, settings, adapter.dialect, routes, registry, pool, prober, *policy, call_stats,
                 random),
           members(describe_self(settings, make_incarnation(random)), settings.member_silence),
+          starting(settings.store_return_grace),
           gossip(io, members, revision_tracker, settings.member_heartbeat, random,
                  {[this] { return sync.store_answers(); },
                   [this] { sync.check_store(boot_clock::now()); },
@@ -80,6 +84,11 @@
                   },
                   [this](const limit_report& report) {
                       apply_limit_report(registry, report, boot_clock::now());
+                  },
+                  [this] { return starting.make_report(version_in_force(), boot_clock::now()); },
+                  [this](const store_view& view) {
+                      starting.record_report(view, boot_clock::now());
+                      update_state();
                   }}),
           store(io, endpoint_of(settings.store_address), settings.store_timeout, process_metrics),
           applier(adapter.schema, routes, registry, process_metrics, [this] { store_changed(); }),
@@ -170,16 +179,36 @@
         update_state();
     }
 
-    /** Marks the VM as ready once everything has been read from the store. */
+    [[nodiscard]] config_version version_in_force() const
+    {
+        const auto table = routes.table();
+        return table ? table->config().version : config_version{};
+    }
+
+    /** True if the settings name another VM. */
+    [[nodiscard]] bool has_other_seed() const
+    {
+        return std::ranges::any_of(seed_addresses(settings), [this](const auto& seed) {
+            return seed != members.self().address;
+        });
+    }
+
+    /** Marks the VM as ready once everything has been read from the store and is current. */
     void update_state()
     {
+        const auto now = boot_clock::now();
+        starting.observe_era(store.newest_era(), now);
         if (members.self().state != member_state::starting) {
+            calls.outdated = false;
             return;
         }
+        const bool may_hear_of_others = members.alive(now).size() < 2 && has_other_seed() &&
+                                        now - calls.started < first_report_time;
+        calls.outdated = may_hear_of_others || starting.is_outdated(version_in_force(), now);
         // What was read may be stale; another VM tells whether it is, or a fresh read replaces it.
         const bool knows_newest =
-            sync.role() != store_role::follower || members.alive(boot_clock::now()).size() > 1;
-        if (knows_newest && sync.up_to_date() && routes.table()) {
+            sync.role() != store_role::follower || members.alive(now).size() > 1;
+        if (knows_newest && !calls.outdated && sync.up_to_date() && routes.table()) {
             members.set_state(member_state::ready);
         }
     }
@@ -250,10 +279,8 @@
                        now - calls.started >= settle_time};
         const auto alive = members.alive(now);
         const auto ready = std::ranges::count(alive, member_state::ready, &member_entry::state);
-        const auto seeds = seed_addresses(settings);
-        const bool has_seeds = std::ranges::any_of(
-            seeds, [this](const auto& seed) { return seed != members.self().address; });
-        sync.set_role(select_store_role({members.self(), alive, now - calls.started, has_seeds}));
+        sync.set_role(
+            select_store_role({members.self(), alive, now - calls.started, has_other_seed()}));
         if (alive.size() != alive_logged || ready != ready_logged) {
             alive_logged = alive.size();
             ready_logged = ready;
@@ -430,6 +457,7 @@
     call_context calls;
     member_table members;
     store_revision_tracker revision_tracker;
+    start_guard starting;
     member_gossip gossip;
     platform::store_client store;
     store_applier applier;
--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -18,6 +18,8 @@
     settings_refused = 103,
     settings_reloaded = 104,
     process_stood_still = 105,
+    entry_outdated = 106,
+    entry_current = 107,
     log_lines_dropped = 110,
     accept_failed = 120,
     connection_refused = 121,
--- a/src/explain.cpp
+++ b/src/explain.cpp
@@ -29,7 +29,7 @@
     static constexpr std::array<std::pair<std::string_view, std::string_view>, 12> table{{
         {"answered", "the answer of an upstream was forwarded"},
         {"no-route", "no route of the configuration in force matches"},
-        {"no-configuration", "this VM had not read a configuration yet"},
+        {"no-configuration", "this VM had just started and had no current configuration yet"},
         {"no-upstream", "the registry contained no usable upstream"},
         {"no-slot", "no upstream that was probed could answer in time"},
         {"limited", "every usable upstream has reached the limit that it advertises"},
--- a/src/member_gossip.cpp
+++ b/src/member_gossip.cpp
@@ -42,11 +42,15 @@
 constexpr std::size_t wanted_index = 5;
 constexpr std::size_t eras_index = 6;
 constexpr std::size_t limits_index = 7;
+constexpr std::size_t view_index = 8;
 /** Stands for a limit that has ended. */
 constexpr double ended_limit = -1;
 /** Id of the upstream, its limit (negative if it has ended), whether answers to probes and to
  * requests show it, age in ms. */
 using wire_limit = std::tuple<std::string, double, bool, bool, std::uint32_t>;
+/** Version of the configuration in force, era of the store, and ms since it was restored; nothing
+ * if that was not lately. */
+using wire_view = std::tuple<std::uint64_t, std::uint64_t, std::vector<std::uint32_t>>;
 using wire_update = std::tuple<std::uint32_t, std::uint64_t, std::uint64_t, std::uint8_t>;
 
 /** Limits on a decoded heartbeat, so that lengths in corrupt bytes do not cause allocations. */
@@ -102,6 +106,14 @@
             }
         }
     }
+    if (fields.size > view_index) {
+        const auto [configuration, era, restored_ago_ms] = fields.ptr[view_index].as<wire_view>();
+        decoded.view.configuration = {configuration};
+        decoded.view.era = {era};
+        if (!restored_ago_ms.empty()) {
+            decoded.view.restored_ago = milliseconds{restored_ago_ms.front()};
+        }
+    }
     if (fields.size > wanted_index) {
         const auto wanted = fields.ptr[wanted_index].as<std::vector<std::uint32_t>>();
         std::ranges::transform(wanted, std::back_inserter(decoded.wanted), to_address);
@@ -142,10 +154,14 @@
                               report.in_probes, report.in_answers,
                               static_cast<std::uint32_t>(report.age.count())};
         });
+    wire_view view{message.view.configuration.value, message.view.era.value, {}};
+    if (message.view.restored_ago) {
+        std::get<2>(view).push_back(static_cast<std::uint32_t>(message.view.restored_ago->count()));
+    }
     std::vector<std::uint32_t> wanted;
     std::ranges::transform(message.wanted, std::back_inserter(wanted), to_number);
     msgpack::pack(buffer, std::tuple{format_version, entries, revisions, message.store_answers,
-                                     updates, wanted, eras, limits});
+                                     updates, wanted, eras, limits, view});
     return {buffer.data(), buffer.size()};
 }
 
@@ -196,7 +212,9 @@
 
 heartbeat member_gossip::make_heartbeat(std::vector<member_entry> entries) const
 {
-    return {std::move(entries), revisions_.local_revisions(), callbacks_.store_answers()};
+    heartbeat message{std::move(entries), revisions_.local_revisions(), callbacks_.store_answers()};
+    message.view = callbacks_.view();
+    return message;
 }
 
 std::string member_gossip::encode_known(local_time now) const
@@ -307,6 +325,7 @@
     const auto now = boot_clock::now();
     revisions_.record_remote(received.revisions, now);
     std::ranges::for_each(received.limits, callbacks_.on_limit);
+    callbacks_.on_view(received.view);
     if (!received.store_answers) {
         callbacks_.on_store_outage();
     }
--- a/src/member_gossip.hpp
+++ b/src/member_gossip.hpp
@@ -31,6 +31,7 @@
     std::vector<std::string> wanted{};
     /** Limits of upstreams that the sender has seen, or heard of, lately. */
     std::vector<limit_report> limits{};
+    store_view view{};
 };
 
 /** Encodes a heartbeat for the wire. */
@@ -50,6 +51,10 @@
     };
     /** Another VM reports the limit of an upstream. */
     std::function<void(const limit_report&)> on_limit = [](const limit_report&) {};
+    /** What to report of the store's state. */
+    std::function<store_view()> view = [] { return store_view{}; };
+    /** Another VM reports the store's state. */
+    std::function<void(const store_view&)> on_view = [](const store_view&) {};
 };
 
 /**
--- a/src/store_news.hpp
+++ b/src/store_news.hpp
@@ -27,6 +27,16 @@
 /** A revision for each watched kind, indexed by watched_kind. */
 using kind_revisions = std::array<store_revision, enum_names<watched_kind>.size()>;
 
+/** What a VM tells the others of the store's state, for those that start. */
+struct store_view {
+    /** Version in force; 0 if there is none. */
+    config_version configuration;
+    /** Newest era in which the store has answered; 0 if it is not known. */
+    store_era era{};
+    /** Time since the store was restored from a copy; empty if that was not lately. */
+    std::optional<milliseconds> restored_ago{};
+};
+
 /** Compares the revisions that this VM has received from the store with those that other VMs
  * report, which reveals a watch that missed a change. Used by one thread. */
 class store_revision_tracker {
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -29,6 +29,15 @@
     event_descriptor{
         event::process_stood_still, event_level::warning, "process", "process_stood_still", "ms",
         "The process did not run for ms; open connections and earlier reports are discarded."},
+    event_descriptor{event::entry_outdated, event_level::warning, "process", "entry_outdated",
+                     "configuration reported era ms",
+                     "What this VM has read after its start may be older than what others know, as "
+                     "the store was restored from a copy: it is not ready and refuses requests. "
+                     "reported is the newest configuration of another VM."},
+    event_descriptor{event::entry_current, event_level::info, "process", "entry_current",
+                     "configuration reported era ms",
+                     "This VM uses what it has read, ms after it was found to be outdated; if "
+                     "configuration is lower than reported, nobody wrote the newer one again."},
     event_descriptor{event::log_lines_dropped, event_level::warning, "process", "log_lines_dropped",
                      "lines", "Lines were dropped because of the buffer limit or the rate limit."},
     event_descriptor{event::accept_failed, event_level::warning, "calls", "accept_failed",
--- a/src/tests/member_table_test.cpp
+++ b/src/tests/member_table_test.cpp
@@ -211,7 +211,8 @@
                                            {{"10.0.0.9", {3}, 4, member_state::ready}},
                                            {"10.0.0.8"},
                                            {{"u-1", 1.7, true, false, milliseconds{250}},
-                                            {"u-2", std::nullopt, false, true, milliseconds{0}}}}));
+                                            {"u-2", std::nullopt, false, true, milliseconds{0}}},
+                                           {{13}, {2}, milliseconds{1500}}}));
     REQUIRE(received);
     CHECK_FALSE(received->store_answers);
     REQUIRE(received->updates.size() == 1);
@@ -228,6 +229,9 @@
     CHECK(received->limits.back().in_answers);
     CHECK(received->limits.front().age == milliseconds{250});
     CHECK_FALSE(received->limits.back().per_s);
+    CHECK(received->view.configuration == config_version{13});
+    CHECK(received->view.era == store_era{2});
+    CHECK(received->view.restored_ago == milliseconds{1500});
     const auto* const decoded = &received->entries;
     REQUIRE(decoded->size() == 2);
     CHECK(decoded->at(1).address == "10.0.0.2");
