Fix: A VM that has read no configuration yet does not warn that it is outdated

Cause: each VM hears of the others before its first read of the store, so that every start logged SR106 and SR107, which mean a restored store.

Change: without a configuration nothing is used yet, and the guard has nothing to judge. Requests are refused by the missing configuration as before.

--- a/src/entry_start.cpp
+++ b/src/entry_start.cpp
@@ -55,6 +55,9 @@
 
 bool start_guard::lacks_something(config_version configuration, local_time now) const
 {
+    if (configuration == config_version{}) {
+        return false;
+    }
     if (restored_at_ && now - *restored_at_ < rewrite_time_) {
         return true;
     }
--- a/src/entry_start.hpp
+++ b/src/entry_start.hpp
@@ -33,7 +33,7 @@
     /**
      * True if what was read may lack something that other VMs know. It is not for longer than some
      * seconds, as what the store lost may stay lost.
-     * @param configuration the version that was read; 0 if none was.
+     * @param configuration the version that was read; 0 if none was, so that nothing is used yet.
      */
     bool is_outdated(config_version configuration, local_time now);
 
--- a/src/tests/entry_start_test.cpp
+++ b/src/tests/entry_start_test.cpp
@@ -65,6 +65,15 @@
     CHECK_FALSE(guard.make_report(older, start + seconds{12}).restored_ago);
 }
 
+// Each VM hears of the others before it has read the store; that is no trouble to log.
+TEST_CASE("a VM that has read no configuration yet is not outdated")
+{
+    start_guard guard(rewrite_time);
+    guard.record_report({newer}, start);
+    CHECK_FALSE(guard.is_outdated(config_version{}, start));
+    CHECK(guard.is_outdated(older, start));
+}
+
 TEST_CASE("the first era that a VM sees is no restore")
 {
     start_guard guard(rewrite_time);
