Fix: A VM that is stopped while outdated does not serve what it has read

Cause: the first look after SIGTERM cleared the mark of a VM that was still starting, so that it served the copy of a restored store until it exited.

Change: the mark is cleared where the VM becomes ready, and nowhere else.

--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -199,7 +199,6 @@
         const auto now = boot_clock::now();
         starting.observe_era(store.newest_era(), now);
         if (members.self().state != member_state::starting) {
-            calls.outdated = false;
             return;
         }
         const bool may_hear_of_others = members.alive(now).size() < 2 && has_other_seed() &&
