Feature: Log lines of calls name what was requested, and silences their reason

Cause: a log could not tell one request that ends each upstream from upstreams that end for another reason: calls have an id of their own each time, and an upstream that is gone looks like one that lost an answer.

Change: a fingerprint of host, method, target, credentials and body is in SR200, SR201 and SR202 as `request`; equal for repeats of a caller at any VM. SR300 says whether the connection was refused or not answered. A body that is still arriving is told by its first 64 KiB and its length.

--- a/src/call.cpp
+++ b/src/call.cpp
@@ -3,6 +3,7 @@
 
 #include "call_log.hpp"
 #include "refusal.hpp"
+#include "request_identity.hpp"
 
 #include <algorithm>
 #include <ranges>
@@ -55,6 +56,7 @@
 {
     exchange_->on_abandoned([self = shared_from_this()] { self->abandon(); });
     id_ = exchange_->request().head.headers.find(context_.dialect.attempt_id).value_or("");
+    fingerprint_ = fingerprint_of(exchange_->request());
     if (!find_route()) {
         co_return;
     }
@@ -245,7 +247,7 @@
         forward_answer(attempt);
         return;
     }
-    log_failed_attempt(id_, service_, attempt);
+    log_failed_attempt(id_, fingerprint_, service_, attempt);
     if (failure) {
         failure_answer_ = attempt.shared_from_this();
     }
@@ -343,8 +345,9 @@
     }
     context_.stats.record_call(service_, route_ == nullptr ? std::string{} : route_->name, end,
                                std::chrono::duration<double>(duration).count());
-    log_call({id_, route_, service_, end, status, sends_, runs_, to_milliseconds(duration),
-              last_attempt_.get(), search_, urgent_refused_, exchange_->request().received_at},
+    log_call({id_, fingerprint_, route_, service_, end, status, sends_, runs_,
+              to_milliseconds(duration), last_attempt_.get(), search_, urgent_refused_,
+              exchange_->request().received_at},
              context_.settings);
 }
 
--- a/src/call.hpp
+++ b/src/call.hpp
@@ -47,6 +47,7 @@
     const route* route_ = nullptr;
     std::string service_;
     std::string id_;
+    request_fingerprint fingerprint_;
     request_estimate estimate_;
     /** Share of requests of higher priority that were refused when this one arrived. */
     double urgent_refused_ = 0;
--- a/src/call_attempt.cpp
+++ b/src/call_attempt.cpp
@@ -328,7 +328,7 @@
     case attempt_end::not_sent:
         // The upstream may instead have just become unusable, which does not indicate a fault.
         if (unreachable_) {
-            handle_no_response(target, now);
+            handle_no_response(target, connection_->refused(), now);
         }
         break;
     case attempt_end::misdirected:
--- a/src/call_log.cpp
+++ b/src/call_log.cpp
@@ -3,6 +3,7 @@
 
 #include "event_type.hpp"
 #include "hash_func.hpp"
+#include "request_identity.hpp"
 
 #include <limits>
 
@@ -48,6 +49,7 @@
     const choice_basis basis = attempt == nullptr ? choice_basis{} : attempt->basis();
     log_event(normal ? event::call_ended : event::call_troubled,
               {{"id", summary.id},
+               {"request", to_text(summary.fingerprint)},
                {"route", has_route ? summary.matched_route->name : ""},
                {"service", summary.service},
                {"end", std::string{to_name(summary.end)}},
@@ -97,12 +99,13 @@
                {"report_age_ms", basis.report_age ? ms_text(*basis.report_age) : ""}});
 }
 
-void log_failed_attempt(const std::string& id, const std::string& service,
-                        const call_attempt& attempt)
+void log_failed_attempt(const std::string& id, request_fingerprint fingerprint,
+                        const std::string& service, const call_attempt& attempt)
 {
     const auto& basis = attempt.basis();
     log_event(event::attempt_failed,
               {{"id", id},
+               {"request", to_text(fingerprint)},
                {"service", service},
                {"end", std::string{to_name(attempt.end().value_or(attempt_end::cancelled))}},
                {"status", std::to_string(attempt.status())},
--- a/src/call_log.hpp
+++ b/src/call_log.hpp
@@ -4,6 +4,7 @@
 #include "call_attempt.hpp"
 #include "call_type.hpp"
 #include "settings_type.hpp"
+#include "strong_id.hpp"
 
 #include <string>
 
@@ -12,6 +13,7 @@
 /** Data for the log line at the end of a call. */
 struct call_summary {
     const std::string& id;
+    request_fingerprint fingerprint;
     /** Null if no route matched. */
     const route* matched_route;
     const std::string& service;
@@ -36,8 +38,8 @@
 void log_call(const call_summary& summary, const entry_settings& settings);
 
 /** Logs an attempt that did not supply the answer of the call. */
-void log_failed_attempt(const std::string& id, const std::string& service,
-                        const call_attempt& attempt);
+void log_failed_attempt(const std::string& id, request_fingerprint fingerprint,
+                        const std::string& service, const call_attempt& attempt);
 
 /** Logs why a request is not repeated. */
 void log_repeat_denied(const std::string& id, const std::string& service, repeat_verdict verdict);
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -9,6 +9,7 @@
 #include "entry_start.hpp"
 #include "event_type.hpp"
 #include "member_gossip.hpp"
+#include "request_identity.hpp"
 #include "store_client.hpp"
 #include "store_sync.hpp"
 
@@ -37,7 +38,7 @@
 constexpr seconds discovery_period{5};
 /** A request with a larger body is sent on before its body is complete. A shorter one costs less
  * memory than the slot that it would hold at an upstream while it arrives. */
-constexpr std::size_t stream_threshold = 65'536;
+constexpr std::size_t stream_threshold = max_identifying_body;
 /** Connection limit of each page server; callers query the directory over short-lived
  * connections. */
 constexpr std::size_t max_page_connections = 1000;
--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -27,6 +27,7 @@
     asio::error_code error;
     co_await stream_.socket().async_connect(endpoint,
                                             asio::redirect_error(asio::use_awaitable, error));
+    refused_ = error == asio::error::connection_refused;
     if (!error) {
         stream_.set_socket_options(error);
     }
--- /dev/null
+++ b/src/request_identity.cpp
@@ -0,0 +1,34 @@
+/** @file request_identity.cpp Identity of what a caller requests, over calls and VMs. */
+#include "request_identity.hpp"
+
+#include "hash_func.hpp"
+
+#include <array>
+#include <cstdio>
+
+namespace sniperock {
+
+request_fingerprint fingerprint_of(const caller_request& request)
+{
+    const auto& head = request.head;
+    std::uint64_t hash = stable_hash(request.host());
+    hash = stable_hash(head.method, hash);
+    hash = stable_hash(head.target, hash);
+    hash = stable_hash(head.headers.find("authorization").value_or(""), hash);
+    if (request.body) {
+        hash = stable_hash(request.body->from(0).substr(0, max_identifying_body), hash);
+        hash = stable_hash(std::to_string(head.body_length), hash);
+    }
+    return {hash};
+}
+
+std::string to_text(request_fingerprint fingerprint)
+{
+    constexpr std::size_t digits = 16;
+    std::array<char, digits + 1> text{};
+    std::snprintf(text.data(), text.size(), "%016llx",
+                  static_cast<unsigned long long>(fingerprint.value));
+    return {text.data(), digits};
+}
+
+} // namespace sniperock
--- /dev/null
+++ b/src/request_identity.hpp
@@ -0,0 +1,25 @@
+/** @file request_identity.hpp Identity of what a caller requests, over calls and VMs. */
+#pragma once
+
+#include "caller_exchange.hpp"
+#include "strong_id.hpp"
+
+#include <cstddef>
+#include <string>
+
+namespace sniperock {
+
+/** Bytes of a body that distinguish it from others; a longer one is told by these and its length.
+ * A request is dispatched with at least this much of its body, or all of it. */
+inline constexpr std::size_t max_identifying_body = 65'536;
+
+/**
+ * Fingerprint of a request: its host, method, target, credentials and body. A request that a caller
+ * sends again has the same one at each VM, whatever its attempt id and deadline.
+ */
+request_fingerprint fingerprint_of(const caller_request& request);
+
+/** Formats a fingerprint as 16 hexadecimal digits. */
+std::string to_text(request_fingerprint fingerprint);
+
+} // namespace sniperock
--- a/src/strong_id.hpp
+++ b/src/strong_id.hpp
@@ -20,6 +20,8 @@
     friend constexpr auto operator<=>(strong_id, strong_id) = default;
 };
 
+/** Identifies what a caller requested; equal for repeats of a request, on every VM. */
+using request_fingerprint = strong_id<struct request_fingerprint_tag>;
 /** Version of the entire configuration; increases with each change. */
 using config_version = strong_id<struct config_version_tag>;
 /** Counts how often the platform's store was restored from a copy; 0 if it is not known. */
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -51,21 +51,24 @@
     // 2xx: calls.
     event_descriptor{
         event::call_ended, event_level::info, "calls", "call_ended",
-        "id route service end status sends runs ms target_ms upstream sent_ms busy slots slowness "
+        "id request route service end status sends runs ms target_ms upstream sent_ms busy slots "
+        "slowness "
         "cold report_age_ms looks looked_at unknown full cold_held limit_held best_ms "
         "urgent_refused",
         "A call succeeded; a fraction of the successful calls is logged, selected by id."},
     event_descriptor{
         event::call_troubled, event_level::info, "calls", "call_troubled",
-        "id route service end status sends runs ms target_ms upstream sent_ms busy slots slowness "
+        "id request route service end status sends runs ms target_ms upstream sent_ms busy slots "
+        "slowness "
         "cold report_age_ms looks looked_at unknown full cold_held limit_held best_ms "
         "urgent_refused",
         "A call was refused, failed, was sent more than once, or was late; sent_ms is the time at "
         "which it was sent, best_ms the expected response time of the best upstream in the last "
-        "selection, the other fields are those of attempt_failed."},
+        "selection, the other fields are those of attempt_failed. Calls for the same content have "
+        "the same request, on every VM."},
     event_descriptor{
         event::attempt_failed, event_level::info, "calls", "attempt_failed",
-        "id service end status ms upstream busy slots slowness cold report_age_ms",
+        "id request service end status ms upstream busy slots slowness cold report_age_ms",
         "An attempt did not produce the answer; from upstream on, the fields are what the choice "
         "was based on: requests in flight there, slots, slowness in percent, age of the report."},
     event_descriptor{event::call_hedged, event_level::info, "calls", "call_hedged",
@@ -79,9 +82,10 @@
         "exhausted."},
     // 3xx: upstreams.
     event_descriptor{event::upstream_silent, event_level::info, "upstreams", "upstream_silent",
-                     "upstream service",
+                     "upstream service reason",
                      "An upstream that had answered before did not answer a probe on a new "
-                     "connection, or could not be connected to."},
+                     "connection, or could not be connected to. The reason is refused if nothing "
+                     "listens at its address any more, otherwise unanswered."},
     event_descriptor{event::upstream_replaced, event_level::info, "upstreams", "upstream_replaced",
                      "upstream service",
                      "A different upstream answers at the address of this one."},
--- a/src/upstream_health.cpp
+++ b/src/upstream_health.cpp
@@ -5,11 +5,12 @@
 
 namespace sniperock {
 
-void handle_no_response(upstream& item, local_time now)
+void handle_no_response(upstream& item, bool refused, local_time now)
 {
     if (item.failures.record_no_response(now)) {
-        log_event(event::upstream_silent,
-                  {{"upstream", item.entry.id}, {"service", item.entry.service}});
+        log_event(event::upstream_silent, {{"upstream", item.entry.id},
+                                           {"service", item.entry.service},
+                                           {"reason", refused ? "refused" : "unanswered"}});
     }
 }
 
--- a/src/upstream_health.hpp
+++ b/src/upstream_health.hpp
@@ -5,8 +5,9 @@
 
 namespace sniperock {
 
-/** Records that a connection or a probe had no answer; logs the first one after an answer. */
-void handle_no_response(upstream& item, local_time now);
+/** Records that a connection or a probe had no answer; logs the first one after an answer.
+ * @param refused nothing listens at its address. */
+void handle_no_response(upstream& item, bool refused, local_time now);
 /** Records an answer; logs the first one after missing answers. */
 void handle_response(upstream& item);
 
--- a/src/upstream_probe.cpp
+++ b/src/upstream_probe.cpp
@@ -64,7 +64,7 @@
     if (!answered) {
         connection->close();
         unanswered_.Increment();
-        handle_no_response(*target, now);
+        handle_no_response(*target, connection->refused(), now);
     }
     else if (round->closed) {
         pool_.put_back(*target, connection, now);
