Fix: A request that ends the upstreams that run it is quarantined by all VMs

Callers saw a third of their requests on a service refused or late: one request ended 41 to 56 upstreams of a small site within 20 s, as it was sent again to any VM and each began anew.

Cause: nothing was remembered of a request beyond the attempts of its call. Class: state of the whole fleet that each VM would need and none keeps.

Change: an attempt that loses its connection before the answer makes its VM look whether the upstream still listens. If not, the process has ended while it ran the request, known by its fingerprint. Three such processes (quarantine.crashes), counted over all VMs, and no answer: the request is refused at once with 503, which is true, and a Retry-After of the time left. After 30 s (quarantine.time, doubled by each failed trial) one VM sends it once.

Innocent requests: any answer clears them, at every VM; one that was answered in the 5 s before is not suspected at all, and a VM that knows of such an answer tells those that do not. An upstream that still listens is no evidence, so lost answers, resets and full upstreams are none.

How VMs learn of it: what one VM sees goes to three VMs chosen by a hash of the request; when their verdict changes they tell all others at once. Heartbeats carry the same for VMs that start, were frozen or cut off. Bounded: 512 requests, forgotten a minute or a quarantine after the last end.

--- a/src/call.cpp
+++ b/src/call.cpp
@@ -34,6 +34,8 @@
         return call_end::no_upstream;
     case pick_failure::limited:
         return call_end::limited;
+    case pick_failure::quarantined:
+        return call_end::quarantined;
     default:
         return call_end::no_slot;
     }
@@ -61,6 +63,11 @@
         co_return;
     }
     read_deadline();
+    if (context_.quarantine.verdict(fingerprint_, boot_clock::now()) ==
+        quarantine_verdict::refused) {
+        refuse(call_end::quarantined);
+        co_return;
+    }
     estimate_ = context_.estimates.for_route(*route_);
     context_.retry_budget_of(service_).count_request(exchange_->request().received_at);
     co_await try_upstreams();
@@ -118,6 +125,28 @@
     co_await await_attempts();
 }
 
+/** Gives up the upstream that a search has selected. */
+void call::put_back(pick_result& result)
+{
+    release_slot(*result.picked->target);
+    if (result.picked->connection) {
+        context_.pool.put_back(*result.picked->target, result.picked->connection,
+                               boot_clock::now());
+    }
+    result.picked.reset();
+}
+
+/** Whether the request may be sent now; if its quarantine is over, this begins a trial. */
+bool call::passes_quarantine()
+{
+    const auto now = boot_clock::now();
+    const auto verdict = context_.quarantine.verdict(fingerprint_, now);
+    if (verdict == quarantine_verdict::trial) {
+        context_.quarantine.begin_trial(fingerprint_, now);
+    }
+    return verdict != quarantine_verdict::refused;
+}
+
 /** Selects an upstream and starts an attempt at it. @return false if none was selected. */
 task<bool> call::start_attempt(bool may_wait)
 {
@@ -133,12 +162,11 @@
     auto result = co_await pick_upstream(context_, std::move(params), cancelled);
     search_ = result.record;
     if (result.picked && (*finished_ || time_left() < min_time_left)) {
-        release_slot(*result.picked->target);
-        if (result.picked->connection) {
-            context_.pool.put_back(*result.picked->target, result.picked->connection,
-                                   boot_clock::now());
-        }
-        result.picked.reset();
+        put_back(result);
+    }
+    if (result.picked && !passes_quarantine()) {
+        put_back(result);
+        result.failure = pick_failure::quarantined;
     }
     if (!result.picked) {
         pick_failure_ = result.failure;
@@ -147,7 +175,7 @@
     tried_.insert(result.picked->target->entry.id);
     ++sends_;
     const auto attempt = std::make_shared<call_attempt>(
-        context_, attempt_params{exchange_, route_, service_, id_, deadline_},
+        context_, attempt_params{exchange_, route_, service_, id_, fingerprint_, deadline_},
         std::move(*result.picked));
     attempts_.push_back(attempt);
     start_task(context_.io.get_executor(), call_attempt::run(attempt, changed_));
@@ -204,6 +232,10 @@
     if (!is_repeatable(route_->kind) || !exchange_->request().body->complete()) {
         co_return;
     }
+    if (context_.quarantine.suspected(fingerprint_)) {
+        log_repeat_denied(id_, service_, repeat_verdict::ended_upstream);
+        co_return;
+    }
     const auto verdict = judge_repeat();
     if (verdict != repeat_verdict::allowed) {
         log_repeat_denied(id_, service_, verdict);
@@ -268,6 +300,10 @@
     if (time_left() < min_time_left) {
         return repeat_verdict::no_time;
     }
+    if (context_.quarantine.verdict(fingerprint_, boot_clock::now()) ==
+        quarantine_verdict::refused) {
+        return repeat_verdict::ended_upstream;
+    }
     if (sends_ > 0 && !context_.retry_budget_of(service_).spend(boot_clock::now(),
                                                                 context_.fleet.members.size())) {
         context_.stats.repeats_denied.Increment();
@@ -323,8 +359,10 @@
         const auto target = route_ == nullptr ? default_target_latency : route_->target_latency;
         const auto remaining =
             route_ == nullptr ? target : std::max(to_milliseconds(time_left()), milliseconds{0});
-        answer.headers.add("Retry-After",
-                           format_retry_after(retry_delay(target, remaining, context_.random)));
+        const auto delay = end == call_end::quarantined
+                               ? context_.quarantine.remaining(fingerprint_, boot_clock::now())
+                               : retry_delay(target, remaining, context_.random);
+        answer.headers.add("Retry-After", format_retry_after(delay));
     }
     exchange_->respond(answer);
     finish(end, answer.status);
--- a/src/call.hpp
+++ b/src/call.hpp
@@ -28,6 +28,8 @@
     void read_deadline();
     task<> try_upstreams();
     task<bool> start_attempt(bool may_wait);
+    void put_back(pick_result& result);
+    bool passes_quarantine();
     task<> await_attempts();
     std::shared_ptr<call_attempt> pop_ended_attempt();
     void handle_attempt_end(call_attempt& attempt);
--- a/src/call_attempt.cpp
+++ b/src/call_attempt.cpp
@@ -216,7 +216,8 @@
             co_return end;
         }
     }
-    co_return progress == read_progress::broken ? attempt_end::broken : verdict;
+    answer_complete_ = progress == read_progress::complete;
+    co_return answer_complete_ ? verdict : attempt_end::broken;
 }
 
 /** Discards a short body so that the connection can be reused; does not wait for a longer one. */
@@ -289,7 +290,8 @@
             co_await sleep_for(backlog_poll_interval);
         }
     }
-    if (progress == read_progress::complete) {
+    answer_complete_ = progress == read_progress::complete;
+    if (answer_complete_) {
         exchange->finish();
     }
     else if (!exchange->abandoned()) {
@@ -298,6 +300,28 @@
     co_return attempt_end::streamed;
 }
 
+/** Tells apart requests that were answered and those that may have ended their upstream. */
+void call_attempt::record_run(attempt_end end, local_time now)
+{
+    if (answer_complete_) {
+        context_.quarantine.record_answer(params_.fingerprint, now);
+        return;
+    }
+    const bool unanswered = end == attempt_end::broken || end == attempt_end::streamed;
+    if (!unanswered || cancelled_ || !connection_->lost()) {
+        return;
+    }
+    if (handle_lost_run(*picked_.target, params_.fingerprint, context_.quarantine, now)) {
+        // Whether the process has ended is found out at once, as the next request may end another.
+        const auto table = context_.routes.table();
+        const auto* service = table ? table->find_service(params_.service) : nullptr;
+        const auto round = std::make_shared<probe_round>(context_.io.get_executor());
+        round->closed = true;
+        context_.prober.start(round, picked_.target,
+                              service == nullptr ? default_health_path : service->health_path);
+    }
+}
+
 /** Releases the slot and the connection and updates the state of the upstream. */
 void call_attempt::finish_attempt(attempt_end end)
 {
@@ -316,6 +340,7 @@
     else if (connection_) {
         connection_->close();
     }
+    record_run(end, now);
     switch (end) {
     case attempt_end::answered:
         handle_response(target);
@@ -329,6 +354,9 @@
         // The upstream may instead have just become unusable, which does not indicate a fault.
         if (unreachable_) {
             handle_no_response(target, connection_->refused(), now);
+            if (connection_->refused()) {
+                handle_process_end(target, context_.quarantine, now);
+            }
         }
         break;
     case attempt_end::misdirected:
--- a/src/call_attempt.hpp
+++ b/src/call_attempt.hpp
@@ -17,6 +17,7 @@
     const route* matched_route = nullptr;
     std::string service;
     std::string id;
+    request_fingerprint fingerprint;
     local_time deadline;
 };
 
@@ -61,6 +62,7 @@
     attempt_end classify_head();
     std::string request_head();
     void finish_attempt(attempt_end end);
+    void record_run(attempt_end end, local_time now);
 
     call_context& context_;
     attempt_params params_;
@@ -80,6 +82,8 @@
     /** answer_ holds the head of the upstream's answer. */
     bool head_accepted_ = false;
     bool cancelled_ = false;
+    /** The upstream's answer is complete. */
+    bool answer_complete_ = false;
     /** The connection could not be established, or closed before a byte was sent. */
     bool unreachable_ = false;
 };
--- a/src/call_context.hpp
+++ b/src/call_context.hpp
@@ -8,6 +8,7 @@
 #include "choice_yield.hpp"
 #include "cold_limit.hpp"
 #include "fleet_share.hpp"
+#include "quarantine.hpp"
 #include "random_type.hpp"
 #include "retry_budget.hpp"
 #include "route_split.hpp"
@@ -31,11 +32,12 @@
     call_context(asio::io_context& with_io, const entry_settings& with_settings,
                  const wire_dialect& with_dialect, route_holder& with_routes,
                  upstream_registry& with_registry, upstream_pool& with_pool,
-                 upstream_prober& with_prober, choice_policy& with_policy, call_metrics& with_stats,
-                 random_engine& with_random)
+                 upstream_prober& with_prober, request_quarantine& with_quarantine,
+                 choice_policy& with_policy, call_metrics& with_stats, random_engine& with_random)
         : io(with_io), settings(with_settings), dialect(with_dialect), routes(with_routes),
-          registry(with_registry), pool(with_pool), prober(with_prober), policy(with_policy),
-          stats(with_stats), random(with_random), splitter(with_random)
+          registry(with_registry), pool(with_pool), prober(with_prober),
+          quarantine(with_quarantine), policy(with_policy), stats(with_stats), random(with_random),
+          splitter(with_random)
     {
     }
 
@@ -46,6 +48,7 @@
     upstream_registry& registry;
     upstream_pool& pool;
     upstream_prober& prober;
+    request_quarantine& quarantine;
     choice_policy& policy;
     call_metrics& stats;
     random_engine& random;
--- a/src/call_log.cpp
+++ b/src/call_log.cpp
@@ -3,7 +3,6 @@
 
 #include "event_type.hpp"
 #include "hash_func.hpp"
-#include "request_identity.hpp"
 
 #include <limits>
 
@@ -49,7 +48,7 @@
     const choice_basis basis = attempt == nullptr ? choice_basis{} : attempt->basis();
     log_event(normal ? event::call_ended : event::call_troubled,
               {{"id", summary.id},
-               {"request", to_text(summary.fingerprint)},
+               {"request", hex_text(summary.fingerprint.value)},
                {"route", has_route ? summary.matched_route->name : ""},
                {"service", summary.service},
                {"end", std::string{to_name(summary.end)}},
@@ -105,7 +104,7 @@
     const auto& basis = attempt.basis();
     log_event(event::attempt_failed,
               {{"id", id},
-               {"request", to_text(fingerprint)},
+               {"request", hex_text(fingerprint.value)},
                {"service", service},
                {"end", std::string{to_name(attempt.end().value_or(attempt_end::cancelled))}},
                {"status", std::to_string(attempt.status())},
--- a/src/call_picker.cpp
+++ b/src/call_picker.cpp
@@ -109,7 +109,7 @@
     [[nodiscard]] std::string health_path() const
     {
         const auto* service = request_.service_settings;
-        return service == nullptr ? "/healthz" : service->health_path;
+        return service == nullptr ? default_health_path : service->health_path;
     }
 
     /** Evaluates a sample of the candidates. @return the selected upstream, if any. */
--- a/src/call_picker.hpp
+++ b/src/call_picker.hpp
@@ -63,7 +63,7 @@
 };
 
 /** Why no upstream was selected. */
-enum class pick_failure { none, no_upstream, no_slot, limited };
+enum class pick_failure { none, no_upstream, no_slot, limited, quarantined };
 
 struct pick_result {
     std::optional<picked_upstream> picked;
--- a/src/call_type.hpp
+++ b/src/call_type.hpp
@@ -54,6 +54,8 @@
     limited,
     /** Refused in favour of requests of higher priority. */
     yielded,
+    /** Upstreams ended while they ran the same request; it is not sent for a time. */
+    quarantined,
     /** Upstreams refused the request, or it was never sent; it was not executed. */
     not_run,
     /** No answer was received; the request may have been executed. */
@@ -75,6 +77,7 @@
     enum_name<call_end>{call_end::no_slot, "no-slot"},
     enum_name<call_end>{call_end::limited, "limited"},
     enum_name<call_end>{call_end::yielded, "yielded"},
+    enum_name<call_end>{call_end::quarantined, "quarantined"},
     enum_name<call_end>{call_end::not_run, "not-run"},
     enum_name<call_end>{call_end::failed, "failed"},
     enum_name<call_end>{call_end::timed_out, "timed-out"},
@@ -95,6 +98,8 @@
     may_have_run,
     /** The repeat budget of the service is exhausted. */
     no_budget,
+    /** An upstream ended, probably because it ran the request. */
+    ended_upstream,
 };
 
 template <>
@@ -105,6 +110,7 @@
     enum_name<repeat_verdict>{repeat_verdict::body_discarded, "body-discarded"},
     enum_name<repeat_verdict>{repeat_verdict::may_have_run, "may-have-run"},
     enum_name<repeat_verdict>{repeat_verdict::no_budget, "no-budget"},
+    enum_name<repeat_verdict>{repeat_verdict::ended_upstream, "ended-upstream"},
 };
 
 /** Status of an answer that this VM generates; 503 guarantees that the request did not run. */
--- a/src/config_type.hpp
+++ b/src/config_type.hpp
@@ -70,10 +70,13 @@
     std::vector<weighted_service> weighted_services;
 };
 
+/** Health path of a service that states none. */
+inline constexpr const char* default_health_path = "/healthz";
+
 /** Properties of a service's upstreams, as configured by the operator. */
 struct service_config {
     std::string name;
-    std::string health_path = "/healthz";
+    std::string health_path = default_health_path;
     /** Maximum number of connections that an upstream accepts from all callers together. */
     std::int64_t max_connections = 0;
     /** Time for which an upstream is cold after its start. */
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -71,10 +71,14 @@
         : settings(std::move(initial_settings)), adapter(initial_adapter),
           read_settings(std::move(reload)), random(random_seed()), call_stats(process_metrics),
           registry(settings.store_return_grace), pool(io, process_metrics),
-          prober(io, pool, adapter.dialect, process_metrics),
+          quarantine(quarantine_settings_of(settings),
+                     [this](request_fingerprint request) {
+                         spread_quarantine.announce(request, boot_clock::now());
+                     }),
+          prober(io, pool, adapter.dialect, quarantine, process_metrics),
           policy(choice_policies::instance().make(settings.policy)),
-          calls(io, settings, adapter.dialect, routes, registry, pool, prober, *policy, call_stats,
-                random),
+          calls(io, settings, adapter.dialect, routes, registry, pool, prober, quarantine, *policy,
+                call_stats, random),
           members(describe_self(settings, make_incarnation(random)), settings.member_silence),
           starting(settings.store_return_grace),
           gossip(io, members, revision_tracker, settings.member_heartbeat, random,
@@ -90,7 +94,20 @@
                   [this](const store_view& view) {
                       starting.record_report(view, boot_clock::now());
                       update_state();
+                  },
+                  [this](std::size_t max_reports) {
+                      return quarantine.reports(max_reports, random, boot_clock::now());
+                  },
+                  [this](const quarantine_message& message, const std::string& sender) {
+                      spread_quarantine.receive(message, sender, boot_clock::now());
                   }}),
+          spread_quarantine(
+              quarantine,
+              {members.self().address,
+               [this] { return members.other_addresses(boot_clock::now()); },
+               [this](const quarantine_message& message, const std::vector<std::string>& to) {
+                   gossip.send_quarantine(message, to);
+               }}),
           store(io, endpoint_of(settings.store_address), settings.store_timeout, process_metrics),
           applier(adapter.schema, routes, registry, process_metrics, [this] { store_changed(); }),
           sync(io, store, adapter.schema, settings, applier, registry, revision_tracker, random,
@@ -233,6 +250,7 @@
             }
             settings = std::move(new_settings);
             gossip.set_seeds(seed_addresses(settings));
+            quarantine.set_settings(quarantine_settings_of(settings));
             log_event(event::settings_reloaded);
         }
         catch (const invalid_input& fault) {
@@ -421,6 +439,8 @@
                       "Since the store last answered about a kind", silence.count(),
                       {{"kind", kind}});
         });
+        set_gauge("sniperock_requests_quarantined", "Requests refused as they end upstreams",
+                  static_cast<double>(quarantine.refused_count(now)));
         const auto& bodies = *callers.shared().bodies;
         set_gauge("sniperock_body_bytes", "Bytes of request bodies held",
                   static_cast<double>(bodies.bytes));
@@ -452,6 +472,7 @@
     route_holder routes;
     upstream_registry registry;
     upstream_pool pool;
+    request_quarantine quarantine;
     upstream_prober prober;
     std::unique_ptr<choice_policy> policy;
     call_context calls;
@@ -459,6 +480,7 @@
     store_revision_tracker revision_tracker;
     start_guard starting;
     member_gossip gossip;
+    quarantine_exchange spread_quarantine;
     platform::store_client store;
     store_applier applier;
     store_sync<platform::store_client> sync;
--- a/src/entry_settings.cpp
+++ b/src/entry_settings.cpp
@@ -30,4 +30,9 @@
     return seeds;
 }
 
+quarantine_settings quarantine_settings_of(const entry_settings& settings)
+{
+    return {static_cast<std::size_t>(settings.quarantine_crashes), settings.quarantine_time};
+}
+
 } // namespace sniperock
--- a/src/entry_settings_func.hpp
+++ b/src/entry_settings_func.hpp
@@ -1,6 +1,7 @@
 /** @file entry_settings_func.hpp Values derived from the settings of an entry process. */
 #pragma once
 
+#include "quarantine.hpp"
 #include "settings_type.hpp"
 
 #include <asio/ip/tcp.hpp>
@@ -17,4 +18,7 @@
 /** The addresses of the seeds, without their ports. */
 std::vector<std::string> seed_addresses(const entry_settings& settings);
 
+/** When requests that end upstreams are quarantined. */
+quarantine_settings quarantine_settings_of(const entry_settings& settings);
+
 } // namespace sniperock
--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -29,6 +29,10 @@
     attempt_failed = 202,
     call_hedged = 203,
     repeat_denied = 204,
+    request_suspected = 210,
+    request_quarantined = 211,
+    request_tried = 212,
+    request_cleared = 213,
     // 3xx: upstreams.
     upstream_silent = 300,
     upstream_replaced = 301,
--- a/src/explain.cpp
+++ b/src/explain.cpp
@@ -26,7 +26,7 @@
 /** Describes the outcome of a call. */
 std::string outcome_text(std::string_view end)
 {
-    static constexpr std::array<std::pair<std::string_view, std::string_view>, 12> table{{
+    static constexpr std::array<std::pair<std::string_view, std::string_view>, 13> table{{
         {"answered", "the answer of an upstream was forwarded"},
         {"no-route", "no route of the configuration in force matches"},
         {"no-configuration", "this VM had just started and had no current configuration yet"},
@@ -34,6 +34,7 @@
         {"no-slot", "no upstream that was probed could answer in time"},
         {"limited", "every usable upstream has reached the limit that it advertises"},
         {"yielded", "the request was shed to leave the slots to more urgent ones"},
+        {"quarantined", "several upstreams ended while they ran the same request"},
         {"not-run", "the upstreams that were tried did not run it"},
         {"failed", "it may have run, but no complete answer was received"},
         {"timed-out", "it may have run, and the time limit passed"},
@@ -81,11 +82,12 @@
 /** Describes why a request was not retried. */
 std::string denial_text(std::string_view reason)
 {
-    static constexpr std::array<std::pair<std::string_view, std::string_view>, 4> table{{
+    static constexpr std::array<std::pair<std::string_view, std::string_view>, 5> table{{
         {"most-sends", "it was sent to as many upstreams as allowed"},
         {"no-time", "too little time is left"},
         {"may-have-run", "it may have run, and must not run twice"},
         {"no-budget", "the retry budget is exhausted"},
+        {"ended-upstream", "upstreams ended while they ran it"},
     }};
     return look_up(table, reason);
 }
--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -100,6 +100,7 @@
         }
     }
     peer_closed_ = error == asio::error::eof;
+    lost_ = error && stream_.is_open();
     co_return false;
 }
 
--- a/src/http_connection.hpp
+++ b/src/http_connection.hpp
@@ -49,6 +49,8 @@
     /** Reads the next part of the body and appends it to @p body. */
     task<read_progress> read_body(std::string& body);
     void close() { stream_.close(); }
+    /** True if the server or the network ended the connection, rather than close(). */
+    [[nodiscard]] bool lost() const { return lost_; }
     /** True if connect() failed as nothing listens at the address. */
     [[nodiscard]] bool refused() const { return refused_; }
 
@@ -93,6 +95,7 @@
     bool response_complete_ = false;
     bool flushing_ = false;
     bool peer_closed_ = false;
+    bool lost_ = false;
     bool refused_ = false;
     unsigned response_count_ = 0;
     local_time last_response_at_;
--- a/src/member_gossip.cpp
+++ b/src/member_gossip.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t max_updates = 160;
 /** Maximum number of upstreams whose limits a heartbeat carries, some 30 bytes each. */
 constexpr std::size_t max_limits = 40;
+/** Maximum number of requests that end upstreams in a heartbeat, some 60 bytes each. */
+constexpr std::size_t max_quarantine_reports = 20;
 /** Version of the wire format; datagrams of other versions are dropped. */
 constexpr unsigned format_version = 1;
 /** With fewer VMs alive than this, heartbeats are also sent to the seeds each period. */
@@ -43,6 +45,8 @@
 constexpr std::size_t eras_index = 6;
 constexpr std::size_t limits_index = 7;
 constexpr std::size_t view_index = 8;
+constexpr std::size_t quarantine_index = 9;
+constexpr std::size_t relay_index = 10;
 /** Stands for a limit that has ended. */
 constexpr double ended_limit = -1;
 /** Id of the upstream, its limit (negative if it has ended), whether answers to probes and to
@@ -51,6 +55,14 @@
 /** Version of the configuration in force, era of the store, and ms since it was restored; nothing
  * if that was not lately. */
 using wire_view = std::tuple<std::uint64_t, std::uint64_t, std::vector<std::uint32_t>>;
+/** Time in ms; negative for what has not happened. */
+using wire_age = std::int64_t;
+/** Fingerprint of the request, processes that ended, age of the last end, failed trials, ages of
+ * the last trial and of the last answer. */
+using wire_quarantine = std::tuple<std::uint64_t, std::vector<std::uint64_t>, wire_age,
+                                   std::uint32_t, wire_age, wire_age>;
+/** Stands for the age of what has not happened. */
+constexpr wire_age no_age = -1;
 using wire_update = std::tuple<std::uint32_t, std::uint64_t, std::uint64_t, std::uint8_t>;
 
 /** Limits on a decoded heartbeat, so that lengths in corrupt bytes do not cause allocations. */
@@ -76,6 +88,34 @@
     return value <= static_cast<std::uint8_t>(member_state::leaving);
 }
 
+/** An age on the wire; longer ones are as good as this one, and would not fit a time point. */
+std::optional<milliseconds> to_age(wire_age age)
+{
+    constexpr wire_age max_age = 86'400'000;
+    return age < 0 ? std::nullopt : std::optional{milliseconds{std::min(age, max_age)}};
+}
+
+wire_quarantine to_wire(const quarantine_report& report)
+{
+    std::vector<std::uint64_t> ended;
+    std::ranges::transform(report.ended, std::back_inserter(ended), &upstream_process::value);
+    const auto age_of = [](const std::optional<milliseconds>& age) {
+        return age ? static_cast<wire_age>(age->count()) : no_age;
+    };
+    return {report.fingerprint.value, std::move(ended),         report.ended_ago.count(),
+            report.failed_trials,     age_of(report.trial_ago), age_of(report.answered_ago)};
+}
+
+quarantine_report from_wire(const wire_quarantine& wire)
+{
+    const auto& [fingerprint, processes, ended_ago, failed_trials, trial_ago, answered_ago] = wire;
+    std::vector<upstream_process> ended;
+    std::ranges::transform(processes, std::back_inserter(ended),
+                           [](std::uint64_t value) { return upstream_process{value}; });
+    return {{fingerprint}, std::move(ended),  to_age(ended_ago).value_or(milliseconds{0}),
+            failed_trials, to_age(trial_ago), to_age(answered_ago)};
+}
+
 /** Reads the fields that follow the sender's revisions. @throws msgpack::type_error */
 void decode_later_fields(const msgpack::object_array& fields, heartbeat& decoded)
 {
@@ -114,6 +154,13 @@
             decoded.view.restored_ago = milliseconds{restored_ago_ms.front()};
         }
     }
+    if (fields.size > quarantine_index) {
+        const auto reports = fields.ptr[quarantine_index].as<std::vector<wire_quarantine>>();
+        std::ranges::transform(reports, std::back_inserter(decoded.quarantine), from_wire);
+    }
+    if (fields.size > relay_index) {
+        decoded.relay_quarantine = fields.ptr[relay_index].as<bool>();
+    }
     if (fields.size > wanted_index) {
         const auto wanted = fields.ptr[wanted_index].as<std::vector<std::uint32_t>>();
         std::ranges::transform(wanted, std::back_inserter(decoded.wanted), to_address);
@@ -160,8 +207,11 @@
     }
     std::vector<std::uint32_t> wanted;
     std::ranges::transform(message.wanted, std::back_inserter(wanted), to_number);
-    msgpack::pack(buffer, std::tuple{format_version, entries, revisions, message.store_answers,
-                                     updates, wanted, eras, limits, view});
+    std::vector<wire_quarantine> quarantine;
+    std::ranges::transform(message.quarantine, std::back_inserter(quarantine), to_wire);
+    msgpack::pack(buffer,
+                  std::tuple{format_version, entries, revisions, message.store_answers, updates,
+                             wanted, eras, limits, view, quarantine, message.relay_quarantine});
     return {buffer.data(), buffer.size()};
 }
 
@@ -222,6 +272,7 @@
     auto message = make_heartbeat(table_.new_entries(max_new_entries, now));
     message.updates = table_.updates(max_updates, random_, now);
     message.limits = callbacks_.limits(max_limits);
+    message.quarantine = callbacks_.quarantine(max_quarantine_reports);
     return encode_heartbeat(message);
 }
 
@@ -259,6 +310,16 @@
     }
 }
 
+void member_gossip::send_quarantine(const quarantine_message& message,
+                                    const std::vector<std::string>& to)
+{
+    auto carrier = make_heartbeat(table_.entries_of({}));
+    carrier.quarantine = {message.report};
+    carrier.relay_quarantine = message.relay;
+    encoded_ = encode_heartbeat(carrier);
+    std::ranges::for_each(to, [this](const auto& address) { send_encoded(address); });
+}
+
 /** Sends the encoded heartbeat; a datagram that cannot be sent is treated as lost. */
 void member_gossip::send_encoded(const std::string& address)
 {
@@ -326,6 +387,9 @@
     revisions_.record_remote(received.revisions, now);
     std::ranges::for_each(received.limits, callbacks_.on_limit);
     callbacks_.on_view(received.view);
+    for (const auto& report : received.quarantine) {
+        callbacks_.on_quarantine({report, received.relay_quarantine}, sender);
+    }
     if (!received.store_answers) {
         callbacks_.on_store_outage();
     }
--- a/src/member_gossip.hpp
+++ b/src/member_gossip.hpp
@@ -3,6 +3,7 @@
 
 #include "async_func.hpp"
 #include "member_table.hpp"
+#include "quarantine_exchange.hpp"
 #include "store_news.hpp"
 #include "upstream_limit.hpp"
 
@@ -32,6 +33,10 @@
     /** Limits of upstreams that the sender has seen, or heard of, lately. */
     std::vector<limit_report> limits{};
     store_view view{};
+    /** What the sender knows of requests that end upstreams. */
+    std::vector<quarantine_report> quarantine{};
+    /** The receiver passes changed verdicts on such requests on to all VMs. */
+    bool relay_quarantine = false;
 };
 
 /** Encodes a heartbeat for the wire. */
@@ -55,6 +60,12 @@
     std::function<store_view()> view = [] { return store_view{}; };
     /** Another VM reports the store's state. */
     std::function<void(const store_view&)> on_view = [](const store_view&) {};
+    /** The requests that end upstreams to report, at most so many. */
+    std::function<std::vector<quarantine_report>(std::size_t max_reports)> quarantine =
+        [](std::size_t) { return std::vector<quarantine_report>{}; };
+    /** The VM at an address reports such a request. */
+    std::function<void(const quarantine_message&, const std::string& sender)> on_quarantine =
+        [](const quarantine_message&, const std::string&) {};
 };
 
 /**
@@ -75,6 +86,8 @@
     void send_heartbeat_to(const std::string& address);
     /** Sends this VM's own entry to all VMs that are alive; used when this VM starts to leave. */
     void broadcast_self();
+    /** Sends a report of a request that ends upstreams at once. */
+    void send_quarantine(const quarantine_message& message, const std::vector<std::string>& to);
     /** Run until the io context stops. */
     task<> send_heartbeats();
     task<> receive_heartbeats();
--- a/src/member_table.cpp
+++ b/src/member_table.cpp
@@ -184,6 +184,17 @@
     return result;
 }
 
+std::vector<std::string> member_table::other_addresses(local_time now) const
+{
+    std::vector<std::string> addresses;
+    for (const auto& [address, item] : peers_) {
+        if (is_alive(item, now)) {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
+}
+
 std::vector<std::string> member_table::possibly_running_names(local_time now) const
 {
     std::vector<std::string> names{self_.name};
--- a/src/member_table.hpp
+++ b/src/member_table.hpp
@@ -95,6 +95,8 @@
                                                         local_time now) const;
     /** Entries of all VMs that are alive, including this one. */
     [[nodiscard]] std::vector<member_entry> alive(local_time now) const;
+    /** Addresses of all VMs that are alive, except this one. */
+    [[nodiscard]] std::vector<std::string> other_addresses(local_time now) const;
     /** Names of the VMs that may still be running, including this one: those updated within a
      * multiple of the silence timeout. */
     [[nodiscard]] std::vector<std::string> possibly_running_names(local_time now) const;
--- a/src/request_identity.cpp
+++ b/src/request_identity.cpp
@@ -3,9 +3,6 @@
 
 #include "hash_func.hpp"
 
-#include <array>
-#include <cstdio>
-
 namespace sniperock {
 
 request_fingerprint fingerprint_of(const caller_request& request)
@@ -22,13 +19,4 @@
     return {hash};
 }
 
-std::string to_text(request_fingerprint fingerprint)
-{
-    constexpr std::size_t digits = 16;
-    std::array<char, digits + 1> text{};
-    std::snprintf(text.data(), text.size(), "%016llx",
-                  static_cast<unsigned long long>(fingerprint.value));
-    return {text.data(), digits};
-}
-
 } // namespace sniperock
--- a/src/request_identity.hpp
+++ b/src/request_identity.hpp
@@ -5,7 +5,6 @@
 #include "strong_id.hpp"
 
 #include <cstddef>
-#include <string>
 
 namespace sniperock {
 
@@ -19,7 +18,4 @@
  */
 request_fingerprint fingerprint_of(const caller_request& request);
 
-/** Formats a fingerprint as 16 hexadecimal digits. */
-std::string to_text(request_fingerprint fingerprint);
-
 } // namespace sniperock
--- a/src/settings_type.hpp
+++ b/src/settings_type.hpp
@@ -47,6 +47,8 @@
     double retry_ratio{};
     std::int64_t retry_slack{};
     milliseconds retry_window{};
+    std::int64_t quarantine_crashes{};
+    milliseconds quarantine_time{};
     double cold_overshoot{};
     double cold_slack{};
     milliseconds member_heartbeat{};
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -78,8 +78,21 @@
     event_descriptor{
         event::repeat_denied, event_level::info, "calls", "repeat_denied", "id service reason",
         "The request was not sent again: it was sent to as many upstreams as allowed, "
-        "no time is left, it may have run, part of its body is gone, or the retry budget is "
-        "exhausted."},
+        "no time is left, it may have run, part of its body is gone, the retry budget is "
+        "exhausted, or upstreams ended while they ran it."},
+    event_descriptor{event::request_suspected, event_level::info, "calls", "request_suspected",
+                     "request upstream service",
+                     "The process of the upstream ended while it ran this request, which may be "
+                     "the cause or have run beside it."},
+    event_descriptor{event::request_quarantined, event_level::warning, "calls",
+                     "request_quarantined", "request ended failed_trials ms",
+                     "As many upstreams as allowed ended while they ran this request, and none has "
+                     "answered it: it is refused by all VMs for ms, then tried once."},
+    event_descriptor{event::request_tried, event_level::info, "calls", "request_tried",
+                     "request failed_trials",
+                     "The quarantine of this request is over; this VM sends it once."},
+    event_descriptor{event::request_cleared, event_level::info, "calls", "request_cleared",
+                     "request", "An upstream has answered a request that was quarantined."},
     // 3xx: upstreams.
     event_descriptor{event::upstream_silent, event_level::info, "upstreams", "upstream_silent",
                      "upstream service reason",
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -123,6 +123,13 @@
                        "Retries of a service that the fleet may send in addition to the ratio"},
     setting_descriptor{"retries", "window", &entry_settings::retry_window, "ms", "10000", 100,
                        day_ms, setting_flag::optional, "Window in which retries are counted"},
+    // Requests that end upstreams.
+    setting_descriptor{"quarantine", "crashes", &entry_settings::quarantine_crashes, "upstreams",
+                       "3", 0, 16, setting_flag::optional,
+                       "Upstreams that end while they run a request before it is refused; 0 never"},
+    setting_descriptor{"quarantine", "time", &entry_settings::quarantine_time, "ms", "30000", 1,
+                       600'000, setting_flag::optional,
+                       "Time for which it is refused; doubled after each trial that fails"},
     // Cold upstreams.
     setting_descriptor{"cold", "overshoot", &entry_settings::cold_overshoot, "times", "1.5", 1, 100,
                        setting_flag::optional,
--- a/src/tests/member_table_test.cpp
+++ b/src/tests/member_table_test.cpp
@@ -279,3 +279,25 @@
     CHECK_FALSE(decode_heartbeat(std::string("\x92\x01\xdb\x80\x00\x00\x00", 7)));
     CHECK_FALSE(decode_heartbeat(std::string(60'000, '\x91')));
 }
+
+TEST_CASE("a heartbeat carries what is known of requests that end upstreams")
+{
+    heartbeat message;
+    message.quarantine = {
+        {{7}, {{1}, {2}, {3}}, milliseconds{40}, 2, milliseconds{5}, std::nullopt},
+        {{8}, {}, milliseconds{0}, 0, std::nullopt, milliseconds{9}},
+    };
+    message.relay_quarantine = true;
+    const auto received = decode_heartbeat(encode_heartbeat(message));
+    REQUIRE(received);
+    CHECK(received->relay_quarantine);
+    REQUIRE(received->quarantine.size() == 2);
+    const auto& first = received->quarantine.front();
+    CHECK(first.fingerprint == request_fingerprint{7});
+    CHECK(first.ended == message.quarantine.front().ended);
+    CHECK(first.ended_ago == milliseconds{40});
+    CHECK(first.failed_trials == 2);
+    CHECK(first.trial_ago == milliseconds{5});
+    CHECK_FALSE(first.answered_ago);
+    CHECK(received->quarantine.back().answered_ago == milliseconds{9});
+}
--- a/src/tests/request_identity_test.cpp
+++ b/src/tests/request_identity_test.cpp
@@ -54,8 +54,3 @@
     CHECK(fingerprint_of(make_request(body.substr(0, max_identifying_body + 10), length)) == whole);
     CHECK(fingerprint_of(make_request(body, length + 1)) != whole);
 }
-
-TEST_CASE("a fingerprint is written with all its digits")
-{
-    CHECK(to_text(request_fingerprint{0xab}) == "00000000000000ab");
-}
--- a/src/upstream_probe.cpp
+++ b/src/upstream_probe.cpp
@@ -22,8 +22,9 @@
 } // namespace
 
 upstream_prober::upstream_prober(asio::io_context& io, upstream_pool& pool,
-                                 const wire_dialect& dialect, metrics& metrics_registry)
-    : io_(io), pool_(pool), dialect_(dialect),
+                                 const wire_dialect& dialect, request_quarantine& quarantine,
+                                 metrics& metrics_registry)
+    : io_(io), pool_(pool), dialect_(dialect), quarantine_(quarantine),
       sent_(metrics_registry.counter("sniperock_probes_total", "Probes sent to upstreams",
                                      {{"what", "sent"}})),
       unanswered_(metrics_registry.counter("sniperock_probes_total", "Probes sent to upstreams",
@@ -65,6 +66,9 @@
         connection->close();
         unanswered_.Increment();
         handle_no_response(*target, connection->refused(), now);
+        if (connection->refused()) {
+            handle_process_end(*target, quarantine_, now);
+        }
     }
     else if (round->closed) {
         pool_.put_back(*target, connection, now);
--- a/src/upstream_probe.hpp
+++ b/src/upstream_probe.hpp
@@ -1,6 +1,7 @@
 /** @file upstream_probe.hpp Probes the load and health of upstreams. */
 #pragma once
 
+#include "quarantine.hpp"
 #include "upstream_limit.hpp"
 #include "upstream_pool.hpp"
 #include "upstream_type.hpp"
@@ -39,7 +40,7 @@
 class upstream_prober {
 public:
     upstream_prober(asio::io_context& io, upstream_pool& pool, const wire_dialect& dialect,
-                    metrics& metrics_registry);
+                    request_quarantine& quarantine, metrics& metrics_registry);
 
     /** Starts a probe of @p target in @p round. */
     void start(const std::shared_ptr<probe_round>& round, const upstream_ptr& target,
@@ -62,6 +63,7 @@
     asio::io_context& io_;
     upstream_pool& pool_;
     const wire_dialect& dialect_;
+    request_quarantine& quarantine_;
     /** Initial value: a round trip within a region and the processing time of the upstream. */
     nanoseconds average_time_ = milliseconds{8};
     prometheus::Counter& sent_;
--- a/src/upstream_type.hpp
+++ b/src/upstream_type.hpp
@@ -105,6 +105,12 @@
     local_time probed_at;
 };
 
+/** A request whose connection to an upstream was lost before its answer. */
+struct lost_run {
+    request_fingerprint request;
+    local_time lost_at;
+};
+
 /** State of an upstream on this VM; outlives its registry entry while requests run. */
 struct upstream : std::enable_shared_from_this<upstream> {
     upstream_entry entry;
@@ -130,6 +136,10 @@
     /** Null until the upstream first advertises a limit. */
     std::shared_ptr<upstream_limit> limit;
     failure_record failures;
+    /** Requests lost lately, while it is not known whether its process has ended. */
+    std::vector<lost_run> lost_runs;
+    /** When nothing listened at its address; empty once it has answered since. */
+    std::optional<local_time> ended_at;
     /** Idle connections, the most recently used one at the back. */
     std::vector<std::shared_ptr<http_connection>> idle;
 };
