Fix: A caller that resets its connection does not end the process

Any caller could end a VM: one that resets its connection while its answer is being written.

Cause: the write that meets the reset closed the session and emptied the queue of its requests, from which the caller of the write then removed the first. Class: a callee that changes the object under its caller.

Change: close() marks the session and its requests and closes the socket; the event loop removes the requests and tells their handlers. A closed session is kept until then, so that a stop of the process frees it too.

--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -104,7 +104,10 @@
 void caller_server::close_all()
 {
     const auto all = std::exchange(sessions_, {});
-    std::ranges::for_each(all, [](const auto& session) { session->close(); });
+    std::ranges::for_each(all, [](const auto& session) {
+        session->close();
+        session->abandon_requests();
+    });
 }
 
 void caller_server::close_expired(local_time now)
--- a/src/caller_session.cpp
+++ b/src/caller_session.cpp
@@ -4,6 +4,8 @@
 #include "http_write.hpp"
 #include "refusal.hpp"
 
+#include <asio/post.hpp>
+
 #include <algorithm>
 #include <array>
 #include <ranges>
@@ -38,10 +40,18 @@
     if (std::exchange(closed_, true)) {
         return;
     }
+    for (const auto& exchange : exchanges_) {
+        exchange->abandoned_ = true;
+    }
+    asio::post(stream_.socket().get_executor(),
+               [self = shared_from_this()] { self->abandon_requests(); });
     stream_.close();
+}
+
+void caller_session::abandon_requests()
+{
     streaming_ = nullptr;
     for (const auto& exchange : std::exchange(exchanges_, {})) {
-        exchange->abandoned_ = true;
         if (const auto handler = std::exchange(exchange->on_abandoned_, nullptr)) {
             handler();
         }
@@ -309,7 +319,7 @@
         if (!exchange->output_.empty()) {
             write(std::exchange(exchange->output_, {}));
         }
-        if (!exchange->complete_) {
+        if (closed_ || !exchange->complete_) {
             return;
         }
         exchanges_.pop_front();
--- a/src/caller_session.hpp
+++ b/src/caller_session.hpp
@@ -35,6 +35,10 @@
 /**
  * Reads requests from one connection and writes the responses in request order. Reading continues
  * while requests are processed, so that a close by the caller is detected.
+ *
+ * Each write, and each handler that is called, may find the connection broken and close it. So that
+ * whoever called it can go on, close() marks the session and its requests and changes nothing else:
+ * requests are removed, and their handlers told, by the event loop.
  */
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
@@ -45,13 +49,17 @@
 
     /** Starts reading. */
     void start();
-    /** Closes the connection and abandons the requests that are in progress. */
+    /** Closes the connection; the requests that are in progress are abandoned by the event loop. */
     void close();
+    /** Abandons the requests of a closed connection; called directly once the event loop has ended.
+     */
+    void abandon_requests();
     /** Closes the connection if its deadline has passed; answers an incomplete request with 408. */
     void close_if_expired(local_time now);
     /** Closes the connection if nothing is in progress on it. */
     void close_if_idle(local_time now);
-    [[nodiscard]] bool closed() const { return closed_; }
+    /** True once the connection is closed and its requests are abandoned. */
+    [[nodiscard]] bool closed() const { return closed_ && exchanges_.empty(); }
     /** True if a request or its response is incomplete, or the first request may be on its way. */
     [[nodiscard]] bool busy(local_time now) const;
 
--- /dev/null
+++ b/src/tests/caller_session_test.cpp
@@ -0,0 +1,182 @@
+/** @file caller_session_test.cpp Callers that reset their connections at any moment. */
+#include "caller_server.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/write.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace sniperock;
+
+namespace {
+
+const std::string get_request = "GET /status/1 HTTP/1.1\r\nHost: a.example\r\n\r\n";
+
+/** A listening port, and a caller whose reset the sessions have not seen yet. */
+struct reset_fixture {
+    reset_fixture() : server(io, make_context(), 10), caller(io)
+    {
+        server.listen({asio::ip::make_address("127.0.0.1"), 0});
+        caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+    }
+    ~reset_fixture() { server.close_all(); }
+    reset_fixture(const reset_fixture&) = delete;
+    reset_fixture& operator=(const reset_fixture&) = delete;
+
+    session_context make_context()
+    {
+        session_context context;
+        context.stream_threshold = 1000;
+        context.handle = [this](const exchange_ptr& exchange) {
+            exchanges.push_back(exchange);
+            exchange->on_abandoned([this] { ++abandoned; });
+            if (on_request) {
+                on_request(exchange);
+            }
+        };
+        return context;
+    }
+
+    void send(const std::string& bytes) { asio::write(caller, asio::buffer(bytes)); }
+    void reset()
+    {
+        caller.set_option(asio::socket_base::linger(true, 0));
+        caller.close();
+    }
+    /** Runs until so many requests have been dispatched. */
+    void receive(std::size_t count)
+    {
+        while (exchanges.size() < count) {
+            io.run_one();
+        }
+    }
+    /** Runs everything that is ready; the session of the reset connection has to be closed then. */
+    void settle()
+    {
+        while (server.connections() > 0) {
+            io.run_one();
+            server.close_expired(boot_clock::now());
+        }
+        io.poll();
+    }
+
+    asio::io_context io;
+    std::vector<exchange_ptr> exchanges;
+    std::function<void(const exchange_ptr&)> on_request;
+    int abandoned = 0;
+    caller_server server;
+    asio::ip::tcp::socket caller;
+};
+
+/** Times that each case is repeated: what is freed too early is not always reused at once. */
+constexpr int repeats = 50;
+
+} // namespace
+
+// A caller that reset its connection while its answer was complete ended the process.
+TEST_CASE("an answer to a connection that was reset unnoticed closes it")
+{
+    for (int i = 0; i < repeats; ++i) {
+        reset_fixture setup;
+        setup.send(get_request);
+        setup.receive(1);
+        setup.reset();
+        setup.exchanges.front()->respond({i % 2 == 0 ? 200 : 503, {}, "body"});
+        CHECK(setup.exchanges.front()->abandoned());
+        setup.settle();
+        CHECK(setup.abandoned == 0);
+    }
+}
+
+TEST_CASE("a streamed answer to a connection that was reset unnoticed closes it")
+{
+    for (int i = 0; i < repeats; ++i) {
+        reset_fixture setup;
+        setup.send(get_request);
+        setup.receive(1);
+        auto& exchange = *setup.exchanges.front();
+        exchange.begin({200, {}, {}}, body_framing::chunked, 0);
+        setup.reset();
+        exchange.append("a piece");
+        exchange.append("another");
+        exchange.finish();
+        setup.settle();
+        CHECK(exchange.abandoned());
+        CHECK(setup.abandoned == 1);
+    }
+}
+
+TEST_CASE("pipelined requests of a connection that was reset are all abandoned")
+{
+    for (int i = 0; i < repeats; ++i) {
+        reset_fixture setup;
+        setup.send(get_request + get_request + get_request);
+        setup.receive(3);
+        setup.reset();
+        setup.exchanges[0]->respond({200, {}, "body"});
+        setup.exchanges[2]->respond({200, {}, "body"});
+        setup.exchanges[1]->respond({503, {}, {}});
+        setup.settle();
+        // The handlers of the others run; the first one was answered before.
+        CHECK(setup.abandoned == 2);
+    }
+}
+
+TEST_CASE("a handler that answers at once does so also on a connection that was reset")
+{
+    for (int i = 0; i < repeats; ++i) {
+        reset_fixture setup;
+        setup.on_request = [](const exchange_ptr& exchange) {
+            exchange->respond({200, {}, "body"});
+        };
+        setup.send(get_request + get_request + get_request);
+        setup.reset();
+        setup.settle();
+        CHECK(setup.exchanges.size() <= 3);
+    }
+}
+
+TEST_CASE("a request that is rejected on a connection that was reset")
+{
+    for (int i = 0; i < repeats; ++i) {
+        reset_fixture setup;
+        setup.send(get_request + "bad\r\n\r\n");
+        setup.reset();
+        setup.settle();
+        CHECK(setup.exchanges.size() <= 1);
+    }
+}
+
+TEST_CASE("a body that is rejected while it is sent on by a connection that was reset")
+{
+    for (int i = 0; i < repeats; ++i) {
+        reset_fixture setup;
+        setup.send("POST /book/1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "7d0\r\n" +
+                   std::string(2000, 'x') + "\r\n");
+        setup.receive(1);
+        setup.send("no chunk\r\n");
+        setup.reset();
+        setup.settle();
+        CHECK(setup.abandoned == 1);
+    }
+}
+
+TEST_CASE("a connection that is reset while it lingers after its last answer")
+{
+    for (int i = 0; i < repeats; ++i) {
+        reset_fixture setup;
+        setup.send("GET /status/1 HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n");
+        setup.receive(1);
+        setup.exchanges.front()->respond({200, {}, std::string(3'000'000, 'x')});
+        setup.io.poll();
+        setup.reset();
+        setup.settle();
+        CHECK(setup.server.connections() == 0);
+    }
+}
