Feature: A VM detects that it reaches no upstream of a service

Cause: nothing told a VM that is cut off from its upstreams from upstreams that are down: its log named each of them as silent, its metrics nothing.

Change: SR305 and a gauge name the services of which several upstreams in a row were silent and none has answered since, and whether that holds for all services (isolated). Compared over the VMs they tell a cut from a failure. Nothing else depends on it yet.

--- a/src/call_attempt.cpp
+++ b/src/call_attempt.cpp
@@ -237,7 +237,9 @@
 {
     auto& head = connection_->head();
     const auto& dialect = context_.dialect;
-    context_.prober.apply_headers(*picked_.target, head.headers, boot_clock::now());
+    const auto now = boot_clock::now();
+    handle_response(*picked_.target, now);
+    context_.prober.apply_headers(*picked_.target, head.headers, now);
     if (head.status == http_status::misdirected) {
         return attempt_end::misdirected;
     }
@@ -343,7 +345,6 @@
     record_run(end, now);
     switch (end) {
     case attempt_end::answered:
-        handle_response(target);
         answer_.status >= http_status::first_server_error ? target.failures.record_failure(now)
                                                           : target.failures.record_success(now);
         break;
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -12,6 +12,7 @@
 #include "request_identity.hpp"
 #include "store_client.hpp"
 #include "store_sync.hpp"
+#include "upstream_reach.hpp"
 
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
@@ -77,6 +78,7 @@
                      }),
           prober(io, pool, adapter.dialect, quarantine, process_metrics),
           policy(choice_policies::instance().make(settings.policy)),
+          reach(registry, [this](const upstream_ptr& item) { probe_at_once(item); }),
           calls(io, settings, adapter.dialect, routes, registry, pool, prober, quarantine, *policy,
                 call_stats, random),
           members(describe_self(settings, make_incarnation(random)), settings.member_silence),
@@ -187,6 +189,16 @@
         });
     }
 
+    /** Probes an upstream outside of any choice. */
+    void probe_at_once(const upstream_ptr& item)
+    {
+        const auto table = routes.table();
+        const auto* service = table ? table->find_service(item->entry.service) : nullptr;
+        const auto round = std::make_shared<probe_round>(io.get_executor());
+        round->closed = true;
+        prober.start(round, item, service == nullptr ? default_health_path : service->health_path);
+    }
+
     // Configuration and settings.
 
     void store_changed()
@@ -272,6 +284,7 @@
         }
         registry.expire(now);
         sync.check_missed_changes(now);
+        reach.update(now);
         report_store_health();
         update_state();
         if (now >= next_second) {
@@ -433,6 +446,8 @@
                   static_cast<double>(limited));
         set_gauge("sniperock_store_era", "Newest era in which the store has answered",
                   static_cast<double>(store.newest_era().value));
+        set_gauge("sniperock_services_unreachable", "Services without an upstream in reach",
+                  static_cast<double>(reach.services().size()));
         sync.for_each_last_answer([&](const std::string& kind, local_time answered) {
             const std::chrono::duration<double> silence = now - answered;
             set_gauge("sniperock_store_silence_seconds",
@@ -475,6 +490,7 @@
     request_quarantine quarantine;
     upstream_prober prober;
     std::unique_ptr<choice_policy> policy;
+    upstream_reach reach;
     call_context calls;
     member_table members;
     store_revision_tracker revision_tracker;
--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -39,6 +39,7 @@
     upstream_back = 302,
     upstream_limited = 303,
     upstream_unlimited = 304,
+    reach_changed = 305,
     // 5xx: store.
     store_lost = 500,
     store_back = 501,
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -111,6 +111,11 @@
     event_descriptor{event::upstream_unlimited, event_level::info, "upstreams",
                      "upstream_unlimited", "upstream service source",
                      "An upstream no longer advertises a limit."},
+    event_descriptor{event::reach_changed, event_level::warning, "upstreams", "reach_changed",
+                     "unreachable isolated",
+                     "No upstream of the services named can be reached from this VM; isolated is 1 "
+                     "if that holds for every service. Compare with other VMs: if they reach them, "
+                     "this VM is cut off, otherwise the upstreams are down."},
     // 5xx: store.
     event_descriptor{
         event::store_lost, event_level::warning, "store", "store_lost", "kind ms",
--- a/src/upstream_health.cpp
+++ b/src/upstream_health.cpp
@@ -58,6 +58,9 @@
 
 void handle_no_response(upstream& item, bool refused, local_time now)
 {
+    if (!item.silent_since) {
+        item.silent_since = now;
+    }
     if (item.failures.record_no_response(now)) {
         log_event(event::upstream_silent, {{"upstream", item.entry.id},
                                            {"service", item.entry.service},
@@ -65,8 +68,10 @@
     }
 }
 
-void handle_response(upstream& item)
+void handle_response(upstream& item, local_time now)
 {
+    item.answered_at = now;
+    item.silent_since.reset();
     item.ended_at.reset();
     if (item.failures.record_response()) {
         log_event(event::upstream_back,
--- a/src/upstream_health.hpp
+++ b/src/upstream_health.hpp
@@ -17,6 +17,6 @@
  * @param refused nothing listens at its address. */
 void handle_no_response(upstream& item, bool refused, local_time now);
 /** Records an answer; logs the first one after missing answers. */
-void handle_response(upstream& item);
+void handle_response(upstream& item, local_time now);
 
 } // namespace sniperock
--- a/src/upstream_probe.cpp
+++ b/src/upstream_probe.cpp
@@ -120,7 +120,7 @@
         return;
     }
     item.unhealthy = head.status != http_status::ok;
-    handle_response(item);
+    handle_response(item, now);
     apply_headers(item, head.headers, now);
     apply_limit(item, head.headers, limit_source::probe, sent_at);
 }
--- a/src/upstream_registry.hpp
+++ b/src/upstream_registry.hpp
@@ -76,6 +76,14 @@
         const auto found = by_id_.find(id);
         return found == by_id_.end() ? nullptr : found->second.get();
     }
+    /** Calls @p visit(name, upstreams) for each service. */
+    template <typename Visit>
+    void for_each_service(Visit visit) const
+    {
+        for (const auto& [name, items] : by_service_) {
+            visit(name, items);
+        }
+    }
     [[nodiscard]] std::size_t size() const { return by_id_.size(); }
     /** Calls @p visit(upstream&) for each entry. */
     template <typename Visit>
--- a/src/upstream_type.hpp
+++ b/src/upstream_type.hpp
@@ -138,6 +138,9 @@
     failure_record failures;
     /** Requests lost lately, while it is not known whether its process has ended. */
     std::vector<lost_run> lost_runs;
+    /** When it last answered, and when it was first silent since; empty if it was not. */
+    local_time answered_at;
+    std::optional<local_time> silent_since;
     /** When nothing listened at its address; empty once it has answered since. */
     std::optional<local_time> ended_at;
     /** Idle connections, the most recently used one at the back. */
