Fix: A VM that reaches no upstream passes its requests on to other VMs

Cause: such a VM was ready like any other. Directories named it, callers that had its address kept it, and it could only refuse. Class: a capability that a VM takes for granted, as it had it when it became ready.

Change: a VM that reaches no upstream of a service sends the request to another VM, on a TCP port with the number of the heartbeats' port. The other one treats it as any request, but never passes it on again, so there are no circles. It gets the time that is left, the number of sends that are left, and says how many it needed, so that a request reaches no more upstreams than its route allows. Its own 503 is "not run", its own 502 and 504 are "may have run"; a request that may not be repeated goes to a further VM only if none was sent. Bodies are streamed as to an upstream. Of two random VMs the one that runs less for this VM is asked, three at most. A VM without such peers refuses as before.

Heartbeats say which services a VM cannot reach, at once when that changes; such VMs are not asked. Directories leave out VMs that reach nothing while others are ready; callers that have their address are served all the same. An upstream that was silent and never reported its load is no candidate unprobed.

Weighed: leaving the directory alone leaves callers with an old answer unserved for up to three times its lifetime; not being ready would also close the VM to work that it can pass on.

--- a/src/call.cpp
+++ b/src/call.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t max_upstreams_tried = 6;
 /** A request is hedged when the first attempt takes this many times the expected work time. */
 constexpr double hedge_work_factor = 2.5;
+/** VMs to which a request is passed on until one can send it. */
+constexpr int max_relays = 3;
 /** A request is not hedged before this fraction of the target latency has passed. */
 constexpr double hedge_target_factor = 0.6;
 
@@ -43,8 +45,9 @@
 
 } // namespace
 
-call::call(call_context& context, exchange_ptr exchange)
-    : context_(context), exchange_(std::move(exchange)), table_(context.routes.table()),
+call::call(call_context& context, exchange_ptr exchange, call_origin origin)
+    : context_(context), exchange_(std::move(exchange)), origin_(origin),
+      table_(context.routes.table()),
       changed_(std::make_shared<async_signal>(context.io.get_executor()))
 {
 }
@@ -69,7 +72,10 @@
         co_return;
     }
     estimate_ = context_.estimates.for_route(*route_);
-    context_.retry_budget_of(service_).count_request(exchange_->request().received_at);
+    if (!may_relay() || !context_.reach.unreachable(service_)) {
+        // A request that is passed on counts at the VM that sends it.
+        context_.retry_budget_of(service_).count_request(exchange_->request().received_at);
+    }
     co_await try_upstreams();
 }
 
@@ -147,9 +153,72 @@
     return verdict != quarantine_verdict::refused;
 }
 
-/** Selects an upstream and starts an attempt at it. @return false if none was selected. */
+/** Whether another VM may be asked to send the request. */
+bool call::may_relay() const
+{
+    return origin_ == call_origin::caller && relays_ < max_relays && sends_ < max_sends();
+}
+
+/** True if no upstream of the service has answered lately: they may be out of reach. */
+bool call::none_answered() const
+{
+    const auto now = boot_clock::now();
+    return std::ranges::none_of(
+        context_.registry.of_service(service_),
+        [now](const upstream_ptr& item) { return now - item->answered_at < min_silence; });
+}
+
+/** Upstreams that the request may be sent to. */
+int call::max_sends() const
+{
+    const auto of_route = std::max(route_->max_attempts, 1);
+    const auto text = exchange_->request().head.headers.find(relay_attempts_header);
+    const auto of_relay =
+        origin_ == call_origin::relay && text ? parse_unsigned(*text) : std::nullopt;
+    return of_relay ? static_cast<int>(std::min<std::uint64_t>(*of_relay, of_route)) : of_route;
+}
+
+/** Passes the request on to another VM. @return false if none can send it. */
+bool call::start_relay()
+{
+    const auto peer = context_.relays.pick(service_, tried_, boot_clock::now());
+    if (!peer) {
+        return false;
+    }
+    ++relays_;
+    ++peer->in_flight;
+    // The other VM hedges where that helps.
+    hedged_ = true;
+    context_.stats.relays.Increment();
+    start({peer, nullptr, {}}, attempt_route::relay);
+    return true;
+}
+
+void call::start(picked_upstream picked, attempt_route by)
+{
+    const int sends_left = max_sends() - sends_;
+    tried_.insert(picked.target->entry.id);
+    ++sends_;
+    const auto attempt = std::make_shared<call_attempt>(
+        context_,
+        attempt_params{exchange_, route_, service_, id_, fingerprint_, deadline_, by, sends_left},
+        std::move(picked));
+    attempts_.push_back(attempt);
+    start_task(context_.io.get_executor(), call_attempt::run(attempt, changed_));
+}
+
+/** Selects an upstream and starts an attempt at it, or passes the request on to a VM that can reach
+ * one. @return false if neither is possible. */
 task<bool> call::start_attempt(bool may_wait)
 {
+    const bool reachable = !context_.reach.unreachable(service_);
+    if (!reachable && may_relay() && start_relay()) {
+        co_return true;
+    }
+    if (!reachable && origin_ == call_origin::relay) {
+        pick_failure_ = pick_failure::no_upstream;
+        co_return false;
+    }
     pick_request params{route_,
                         service_,
                         table_->find_service(service_),
@@ -170,15 +239,11 @@
     }
     if (!result.picked) {
         pick_failure_ = result.failure;
-        co_return false;
+        const bool unanswered = result.failure == pick_failure::no_slot && !*finished_ &&
+                                result.record.answered == 0 && none_answered();
+        co_return unanswered&& may_relay() && start_relay();
     }
-    tried_.insert(result.picked->target->entry.id);
-    ++sends_;
-    const auto attempt = std::make_shared<call_attempt>(
-        context_, attempt_params{exchange_, route_, service_, id_, fingerprint_, deadline_},
-        std::move(*result.picked));
-    attempts_.push_back(attempt);
-    start_task(context_.io.get_executor(), call_attempt::run(attempt, changed_));
+    start(std::move(*result.picked), attempt_route::upstream);
     co_return true;
 }
 
@@ -269,9 +334,7 @@
     if (attempt.may_have_run()) {
         ++runs_;
     }
-    if (attempt.end() == attempt_end::not_sent) {
-        --sends_;
-    }
+    sends_ += attempt.sends() - 1;
     const bool answered = attempt.end() == attempt_end::answered;
     const bool failure = answered && attempt.status() >= http_status::first_server_error;
     if (attempt.end() == attempt_end::streamed ||
@@ -294,7 +357,7 @@
     if (!exchange_->request().body->replayable()) {
         return repeat_verdict::body_discarded;
     }
-    if (sends_ >= std::max(route_->max_attempts, 1) || tried_.size() >= max_upstreams_tried) {
+    if (sends_ >= max_sends() || tried_.size() >= max_upstreams_tried) {
         return repeat_verdict::most_sends;
     }
     if (time_left() < min_time_left) {
@@ -317,6 +380,11 @@
     if (attempt.end() == attempt_end::streamed) {
         attempt.allow_streaming();
     }
+    else if (origin_ == call_origin::relay) {
+        auto answer = attempt.answer();
+        answer.headers.add(std::string{relay_sends_header}, std::to_string(sends_));
+        exchange_->respond(answer);
+    }
     else {
         exchange_->respond(attempt.answer());
     }
@@ -364,6 +432,10 @@
                                : retry_delay(target, remaining, context_.random);
         answer.headers.add("Retry-After", format_retry_after(delay));
     }
+    if (origin_ == call_origin::relay) {
+        answer.headers.add(std::string{relay_own_header}, "1");
+        answer.headers.add(std::string{relay_sends_header}, std::to_string(sends_));
+    }
     exchange_->respond(answer);
     finish(end, answer.status);
 }
--- a/src/call.hpp
+++ b/src/call.hpp
@@ -17,7 +17,7 @@
 /** Controls the attempts, repeats and the answer of one request. */
 class call : public std::enable_shared_from_this<call> {
 public:
-    call(call_context& context, exchange_ptr exchange);
+    call(call_context& context, exchange_ptr exchange, call_origin origin = call_origin::caller);
 
     /** Processes the request until it is answered. */
     static task<> run(std::shared_ptr<call> self);
@@ -30,6 +30,11 @@
     task<bool> start_attempt(bool may_wait);
     void put_back(pick_result& result);
     bool passes_quarantine();
+    bool start_relay();
+    void start(picked_upstream picked, attempt_route by);
+    [[nodiscard]] bool may_relay() const;
+    [[nodiscard]] bool none_answered() const;
+    [[nodiscard]] int max_sends() const;
     task<> await_attempts();
     std::shared_ptr<call_attempt> pop_ended_attempt();
     void handle_attempt_end(call_attempt& attempt);
@@ -44,6 +49,7 @@
 
     call_context& context_;
     exchange_ptr exchange_;
+    call_origin origin_;
     /** Keeps route_ valid when a newer configuration is applied. */
     std::shared_ptr<const route_table> table_;
     const route* route_ = nullptr;
@@ -65,6 +71,8 @@
     /** Upstreams that may have executed the request. */
     int runs_ = 0;
     bool hedged_ = false;
+    /** VMs that the request was passed on to. */
+    int relays_ = 0;
     pick_failure pick_failure_ = pick_failure::none;
     search_record search_;
     /** An attempt that was answered with a server error; forwarded if there is no other answer. */
--- a/src/call_attempt.cpp
+++ b/src/call_attempt.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds proven_max_age{50};
 /** Bytes of a body passed to a connection at once. */
 constexpr std::size_t max_piece = 16'384;
+/** More than any route allows. */
+constexpr std::uint64_t max_relayed_sends = 100;
 /** Interval between checks whether the caller has read the data sent so far. */
 constexpr milliseconds backlog_poll_interval{2};
 
@@ -91,7 +93,7 @@
             co_return cancelled_ ? attempt_end::cancelled : attempt_end::not_sent;
         }
     }
-    if (cancelled_ || !context_.registry.usable(*picked_.target)) {
+    if (cancelled_ || (!relayed() && !context_.registry.usable(*picked_.target))) {
         co_return cancelled_ ? attempt_end::cancelled : attempt_end::not_sent;
     }
     connection_->send(request_head(), params_.exchange->request().head.method == "HEAD");
@@ -116,13 +118,19 @@
     append_end_to_end_headers(bytes, request.head.headers, [&](std::string_view name) {
         return !equal_ignoring_case(name, dialect.deadline_ms) &&
                !equal_ignoring_case(name, dialect.expected_upstream) &&
+               !equal_ignoring_case(name, relay_attempts_header) &&
                !equal_ignoring_case(name, "expect");
     });
     const auto left =
         std::chrono::duration_cast<milliseconds>(params_.deadline - boot_clock::now());
     append_header(bytes, dialect.deadline_ms,
                   std::to_string(std::max<std::int64_t>(left.count(), 1)));
-    append_header(bytes, dialect.expected_upstream, picked_.target->entry.id);
+    if (relayed()) {
+        append_header(bytes, relay_attempts_header, std::to_string(params_.sends_left));
+    }
+    else {
+        append_header(bytes, dialect.expected_upstream, picked_.target->entry.id);
+    }
     const auto& body = *request.body;
     chunked_body_ = !body.complete() && request.head.framing != body_framing::length;
     if (chunked_body_) {
@@ -232,6 +240,26 @@
     }
 }
 
+/** Evaluates what another VM says of a request that it was asked to send. @return how the attempt
+ * ends if the answer is the VM's own; empty if it is that of an upstream. */
+std::optional<attempt_end> call_attempt::classify_relay(http_head& head)
+{
+    const auto sends = head.headers.find(relay_sends_header);
+    if (const auto count = sends ? parse_unsigned(*sends) : std::nullopt) {
+        relayed_sends_ = static_cast<int>(std::min<std::uint64_t>(*count, max_relayed_sends));
+    }
+    const bool own = head.headers.find(relay_own_header).has_value();
+    std::erase_if(head.headers.lines(), [](const http_header& line) {
+        return equal_ignoring_case(line.name, relay_sends_header);
+    });
+    if (!own) {
+        return std::nullopt;
+    }
+    const bool may_have_run =
+        head.status == http_status::bad_gateway || head.status == http_status::gateway_timeout;
+    return may_have_run ? attempt_end::broken : attempt_end::not_executed;
+}
+
 /** Evaluates the head of the answer; stores the status and headers if it can be forwarded. */
 attempt_end call_attempt::classify_head()
 {
@@ -239,13 +267,20 @@
     const auto& dialect = context_.dialect;
     const auto now = boot_clock::now();
     handle_response(*picked_.target, now);
-    context_.prober.apply_headers(*picked_.target, head.headers, now);
+    if (relayed()) {
+        if (const auto end = classify_relay(head)) {
+            return *end;
+        }
+    }
+    else {
+        context_.prober.apply_headers(*picked_.target, head.headers, now);
+    }
     if (head.status == http_status::misdirected) {
         return attempt_end::misdirected;
     }
     if (head.headers.find(dialect.not_executed)) {
         // A refusal need not repeat the limit, so that one without it does not end it.
-        if (head.headers.find(dialect.limit)) {
+        if (!relayed() && head.headers.find(dialect.limit)) {
             context_.prober.apply_limit(*picked_.target, head.headers, limit_source::answer,
                                         started_);
         }
@@ -258,7 +293,9 @@
     if (invalid) {
         return attempt_end::broken;
     }
-    context_.prober.apply_limit(*picked_.target, head.headers, limit_source::answer, started_);
+    if (!relayed()) {
+        context_.prober.apply_limit(*picked_.target, head.headers, limit_source::answer, started_);
+    }
     answer_.status = head.status;
     answer_.headers = head.headers;
     head_accepted_ = true;
@@ -310,7 +347,7 @@
         return;
     }
     const bool unanswered = end == attempt_end::broken || end == attempt_end::streamed;
-    if (!unanswered || cancelled_ || !connection_->lost()) {
+    if (!unanswered || cancelled_ || relayed() || !connection_->lost()) {
         return;
     }
     if (handle_lost_run(*picked_.target, params_.fingerprint, context_.quarantine, now)) {
@@ -355,12 +392,15 @@
         // The upstream may instead have just become unusable, which does not indicate a fault.
         if (unreachable_) {
             handle_no_response(target, connection_->refused(), now);
-            if (connection_->refused()) {
+            if (connection_->refused() && !relayed()) {
                 handle_process_end(target, context_.quarantine, now);
             }
         }
         break;
     case attempt_end::misdirected:
+        if (relayed()) {
+            break;
+        }
         context_.registry.mark_removed(target);
         log_event(event::upstream_replaced,
                   {{"upstream", target.entry.id}, {"service", target.entry.service}});
@@ -368,7 +408,7 @@
     default:
         break;
     }
-    if (end == attempt_end::answered && is_success(answer_.status)) {
+    if (end == attempt_end::answered && is_success(answer_.status) && !relayed()) {
         const std::chrono::duration<double, std::milli> took = now - started_;
         context_.estimates.update(*params_.matched_route, took.count(), picked_.basis.slowness,
                                   static_cast<double>(answer_.body.size()));
--- a/src/call_attempt.hpp
+++ b/src/call_attempt.hpp
@@ -11,6 +11,13 @@
 
 namespace sniperock {
 
+/** Where an attempt sends the request. */
+enum class attempt_route {
+    upstream,
+    /** To another VM, which selects the upstream. */
+    relay,
+};
+
 /** The parts of a call that an attempt uses. */
 struct attempt_params {
     exchange_ptr exchange;
@@ -19,6 +26,9 @@
     std::string id;
     request_fingerprint fingerprint;
     local_time deadline;
+    attempt_route by = attempt_route::upstream;
+    /** Upstreams that another VM may send the request to. */
+    int sends_left = 1;
 };
 
 /**
@@ -44,6 +54,11 @@
     {
         return sent_ && end_ != attempt_end::not_executed && end_ != attempt_end::misdirected;
     }
+    /** Upstreams that the request was sent to by this attempt. */
+    [[nodiscard]] int sends() const
+    {
+        return end_ == attempt_end::not_sent ? 0 : relayed_sends_.value_or(1);
+    }
     /** Status of the accepted answer; 0 if there is none. */
     [[nodiscard]] int status() const { return head_accepted_ ? answer_.status : 0; }
     [[nodiscard]] const caller_response& answer() const { return answer_; }
@@ -60,6 +75,8 @@
     task<> skip_unused_body(read_progress progress);
     task<attempt_end> stream_answer();
     attempt_end classify_head();
+    std::optional<attempt_end> classify_relay(http_head& head);
+    [[nodiscard]] bool relayed() const { return params_.by == attempt_route::relay; }
     std::string request_head();
     void finish_attempt(attempt_end end);
     void record_run(attempt_end end, local_time now);
@@ -82,6 +99,8 @@
     /** answer_ holds the head of the upstream's answer. */
     bool head_accepted_ = false;
     bool cancelled_ = false;
+    /** Upstreams that the other VM has sent the request to, if it said so. */
+    std::optional<int> relayed_sends_;
     /** The upstream's answer is complete. */
     bool answer_complete_ = false;
     /** The connection could not be established, or closed before a byte was sent. */
--- a/src/call_context.hpp
+++ b/src/call_context.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "call_metrics.hpp"
+#include "call_relay.hpp"
 #include "choice_estimate.hpp"
 #include "choice_policy.hpp"
 #include "choice_probe_budget.hpp"
@@ -16,6 +17,7 @@
 #include "settings_type.hpp"
 #include "upstream_pool.hpp"
 #include "upstream_probe.hpp"
+#include "upstream_reach.hpp"
 #include "upstream_registry.hpp"
 #include "wire_dialect.hpp"
 
@@ -33,11 +35,12 @@
                  const wire_dialect& with_dialect, route_holder& with_routes,
                  upstream_registry& with_registry, upstream_pool& with_pool,
                  upstream_prober& with_prober, request_quarantine& with_quarantine,
+                 const upstream_reach& with_reach, relay_peers& with_relays,
                  choice_policy& with_policy, call_metrics& with_stats, random_engine& with_random)
         : io(with_io), settings(with_settings), dialect(with_dialect), routes(with_routes),
           registry(with_registry), pool(with_pool), prober(with_prober),
-          quarantine(with_quarantine), policy(with_policy), stats(with_stats), random(with_random),
-          splitter(with_random)
+          quarantine(with_quarantine), reach(with_reach), relays(with_relays), policy(with_policy),
+          stats(with_stats), random(with_random), splitter(with_random)
     {
     }
 
@@ -49,6 +52,9 @@
     upstream_pool& pool;
     upstream_prober& prober;
     request_quarantine& quarantine;
+    /** Services that this VM cannot reach, and the VMs that send requests on for it then. */
+    const upstream_reach& reach;
+    relay_peers& relays;
     choice_policy& policy;
     call_metrics& stats;
     random_engine& random;
--- a/src/call_metrics.cpp
+++ b/src/call_metrics.cpp
@@ -20,6 +20,8 @@
                               {{"what", "hedge"}})),
       repeats_denied(registry.counter("sniperock_repeats_denied_total",
                                       "Requests not sent once more for want of budget")),
+      relays(registry.counter("sniperock_relays_total",
+                              "Requests passed on to another VM, as no upstream is in reach")),
       cold_denied(
           registry.counter("sniperock_cold_denied_total",
                            "Choices that passed a cold upstream over because of its limit")),
--- a/src/call_metrics.hpp
+++ b/src/call_metrics.hpp
@@ -29,6 +29,7 @@
     prometheus::Counter& repeats;
     prometheus::Counter& hedges;
     prometheus::Counter& repeats_denied;
+    prometheus::Counter& relays;
     prometheus::Counter& cold_denied;
     prometheus::Counter& limit_denied;
 
--- a/src/call_picker.cpp
+++ b/src/call_picker.cpp
@@ -212,6 +212,8 @@
         const auto now = boot_clock::now();
         ++record_.looks;
         record_.looked_at += sample.size();
+        record_.answered += static_cast<std::size_t>(
+            std::ranges::count_if(sample, [](const candidate& option) { return option.fresh; }));
         std::erase_if(sample, [&](const candidate& option) {
             const auto verdict = check_eligibility(option, now);
             count_rejection(verdict);
@@ -291,7 +293,7 @@
         if (!context_.policy.probes()) {
             return eligibility::eligible;
         }
-        if (item.report && !option.fresh) {
+        if (!option.fresh && (item.report || item.silent_since)) {
             // In an overload, upstreams that could not be probed would look idle and attract all
             // requests.
             return eligibility::unknown;
--- a/src/call_picker.hpp
+++ b/src/call_picker.hpp
@@ -27,6 +27,8 @@
     /** Selection rounds, and candidates evaluated over all rounds. */
     std::size_t looks = 0;
     std::size_t looked_at = 0;
+    /** Candidates with a fresh load report. */
+    std::size_t answered = 0;
     /** Rejected candidates: without a fresh load report, without a free slot, over the limit for
      * cold upstreams, over the limit that they advertise. */
     std::size_t unknown = 0;
--- /dev/null
+++ b/src/call_relay.hpp
@@ -0,0 +1,57 @@
+/** @file call_relay.hpp Selects the VM that sends a request on for a VM that cannot. */
+#pragma once
+
+#include "member_reach.hpp"
+#include "member_table.hpp"
+#include "random_type.hpp"
+#include "upstream_type.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace sniperock {
+
+/** Header of a relayed request: number of upstreams that it may be sent to. It is understood on the
+ * port for other VMs only. */
+inline constexpr std::string_view relay_attempts_header = "X-Relay-Attempts";
+/** Header of its answer: number of upstreams that it was sent to. */
+inline constexpr std::string_view relay_sends_header = "X-Relay-Sends";
+/** Header of its answer: the answer is the other VM's own, not that of an upstream. */
+inline constexpr std::string_view relay_own_header = "X-Relay-Own";
+
+/**
+ * The other VMs, as far as they can send requests on. Each is treated like an upstream: with kept
+ * connections, and a backoff while it does not answer.
+ */
+class relay_peers {
+public:
+    relay_peers(const member_table& members, const member_reach& reach, random_engine& random)
+        : members_(members), reach_(reach), random_(random)
+    {
+    }
+
+    /** TCP port on which VMs take requests from each other; 0 if they do not. */
+    void set_port(std::uint16_t port) { port_ = port; }
+    /**
+     * Selects a ready VM that has not reported that it cannot reach the service either: of two
+     * random ones, the one that runs fewer requests for this VM.
+     * @param tried ids of VMs that are excluded.
+     * @return null if there is none.
+     */
+    upstream_ptr pick(std::string_view service, const std::set<std::string>& tried, local_time now);
+
+private:
+    upstream_ptr peer_at(const member_entry& member);
+
+    const member_table& members_;
+    const member_reach& reach_;
+    random_engine& random_;
+    std::uint16_t port_ = 0;
+    /** By address. */
+    std::map<std::string, upstream_ptr> peers_;
+};
+
+} // namespace sniperock
--- a/src/call_type.hpp
+++ b/src/call_type.hpp
@@ -38,6 +38,13 @@
     enum_name<attempt_end>{attempt_end::cancelled, "cancelled"},
 };
 
+/** Where a request comes from. */
+enum class call_origin {
+    caller,
+    /** Another VM that cannot reach the upstreams; such a request is not passed on again. */
+    relay,
+};
+
 /** How a call ended. */
 enum class call_end {
     /** An upstream's answer was forwarded to the caller. */
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -19,22 +19,30 @@
 
 } // namespace
 
-std::vector<std::string> directory_addresses(const std::vector<member_entry>& members,
-                                             std::string_view failure_domain,
-                                             const member_entry& self, random_engine& random)
+std::vector<std::string>
+directory_addresses(const std::vector<member_entry>& members,
+                    const std::function<bool(const member_entry&)>& is_isolated,
+                    std::string_view failure_domain, const member_entry& self,
+                    random_engine& random)
 {
     std::vector<std::string> all;
     std::vector<std::string> nearby;
+    std::vector<std::string> isolated;
     for (const auto& member : members) {
         if (member.state != member_state::ready) {
             continue;
         }
+        if (is_isolated(member)) {
+            isolated.push_back(callers_address(member));
+            continue;
+        }
         all.push_back(callers_address(member));
         if (member.failure_domain == failure_domain) {
             nearby.push_back(callers_address(member));
         }
     }
-    auto& answer = nearby.size() >= min_nearby ? nearby : all;
+    auto& sound = nearby.size() >= min_nearby ? nearby : all;
+    auto& answer = sound.empty() ? isolated : sound;
     if (answer.empty()) {
         answer.push_back(callers_address(self));
     }
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -40,6 +40,10 @@
 /** A request with a larger body is sent on before its body is complete. A shorter one costs less
  * memory than the slot that it would hold at an upstream while it arrives. */
 constexpr std::size_t stream_threshold = max_identifying_body;
+/** Bytes that a VM adds to the head of a request that it passes on. */
+constexpr std::int64_t max_relay_headers = 256;
+/** Least time between two heartbeats to all VMs because of a changed reach. */
+constexpr milliseconds reach_news_interval{500};
 /** Connection limit of each page server; callers query the directory over short-lived
  * connections. */
 constexpr std::size_t max_page_connections = 1000;
@@ -79,30 +83,34 @@
           prober(io, pool, adapter.dialect, quarantine, process_metrics),
           policy(choice_policies::instance().make(settings.policy)),
           reach(registry, [this](const upstream_ptr& item) { probe_at_once(item); }),
-          calls(io, settings, adapter.dialect, routes, registry, pool, prober, quarantine, *policy,
-                call_stats, random),
           members(describe_self(settings, make_incarnation(random)), settings.member_silence),
+          peers_reach(members.self().address), relays(members, peers_reach, random),
+          calls(io, settings, adapter.dialect, routes, registry, pool, prober, quarantine, reach,
+                relays, *policy, call_stats, random),
           starting(settings.store_return_grace),
-          gossip(io, members, revision_tracker, settings.member_heartbeat, random,
-                 {[this] { return sync.store_answers(); },
-                  [this] { sync.check_store(boot_clock::now()); },
-                  [this](std::size_t max_reports) {
-                      return recent_limits(registry, max_reports, random, boot_clock::now());
-                  },
-                  [this](const limit_report& report) {
-                      apply_limit_report(registry, report, boot_clock::now());
-                  },
-                  [this] { return starting.make_report(version_in_force(), boot_clock::now()); },
-                  [this](const store_view& view) {
-                      starting.record_report(view, boot_clock::now());
-                      update_state();
-                  },
-                  [this](std::size_t max_reports) {
-                      return quarantine.reports(max_reports, random, boot_clock::now());
-                  },
-                  [this](const quarantine_message& message, const std::string& sender) {
-                      spread_quarantine.receive(message, sender, boot_clock::now());
-                  }}),
+          gossip(
+              io, members, revision_tracker, settings.member_heartbeat, random,
+              {[this] { return sync.store_answers(); },
+               [this] { sync.check_store(boot_clock::now()); },
+               [this](std::size_t max_reports) {
+                   return recent_limits(registry, max_reports, random, boot_clock::now());
+               },
+               [this](const limit_report& report) {
+                   apply_limit_report(registry, report, boot_clock::now());
+               },
+               [this] { return starting.make_report(version_in_force(), boot_clock::now()); },
+               [this](const store_view& view) {
+                   starting.record_report(view, boot_clock::now());
+                   update_state();
+               },
+               [this](std::size_t max_reports) { return reach_reports(max_reports); },
+               [this](const reach_report& report) { peers_reach.apply(report, boot_clock::now()); },
+               [this](std::size_t max_reports) {
+                   return quarantine.reports(max_reports, random, boot_clock::now());
+               },
+               [this](const quarantine_message& message, const std::string& sender) {
+                   spread_quarantine.receive(message, sender, boot_clock::now());
+               }}),
           spread_quarantine(
               quarantine,
               {members.self().address,
@@ -115,6 +123,8 @@
           sync(io, store, adapter.schema, settings, applier, registry, revision_tracker, random,
                [this] { gossip.broadcast_self(); }),
           callers(io, caller_session_context(), static_cast<std::size_t>(settings.max_connections)),
+          relay_server(io, relay_session_context(),
+                       static_cast<std::size_t>(settings.max_connections)),
           ready_page(io,
                      page_session_context([this](const auto& exchange) { answer_ready(exchange); }),
                      max_page_connections),
@@ -129,11 +139,16 @@
     {
     }
 
-    session_context caller_session_context()
+    session_context caller_session_context() { return call_session_context(call_origin::caller); }
+
+    session_context relay_session_context() { return call_session_context(call_origin::relay); }
+
+    session_context call_session_context(call_origin origin)
     {
         session_context context;
-        context.handle = [this](const exchange_ptr& exchange) {
-            start_task(io.get_executor(), call::run(std::make_shared<call>(calls, exchange)));
+        context.handle = [this, origin](const exchange_ptr& exchange) {
+            start_task(io.get_executor(),
+                       call::run(std::make_shared<call>(calls, exchange, origin)));
         };
         context.max_body_memory = static_cast<std::size_t>(settings.body_memory);
         context.stream_threshold = stream_threshold;
@@ -153,6 +168,11 @@
         const auto address = endpoint_of(settings.callers_listen).address();
         callers.listen(endpoint_of(settings.callers_listen));
         members.set_callers_port(callers.port());
+        if (settings.peer_port > 0) {
+            const auto port = static_cast<std::uint16_t>(settings.peer_port);
+            relay_server.listen({address, port});
+            relays.set_port(port);
+        }
         ready_page.listen(endpoint_of(settings.ready_listen));
         directory_page.listen(endpoint_of(settings.directory_listen));
         metrics_page.listen({address, static_cast<std::uint16_t>(settings.metrics_port)});
@@ -189,6 +209,16 @@
         });
     }
 
+    /** What this VM and others say of the upstreams that they reach, this VM first. */
+    std::vector<reach_report> reach_reports(std::size_t max_reports)
+    {
+        reach_report own{members.self().address, reach.isolated(), {}, milliseconds{0}};
+        std::ranges::transform(reach.services(), std::back_inserter(own.unreachable), service_hash);
+        auto reports = peers_reach.reports(max_reports, boot_clock::now());
+        reports.insert(reports.begin(), std::move(own));
+        return reports;
+    }
+
     /** Probes an upstream outside of any choice. */
     void probe_at_once(const upstream_ptr& item)
     {
@@ -205,6 +235,9 @@
     {
         if (const auto table = routes.table()) {
             callers.shared().limits = table->config().limits;
+            relay_server.shared().limits.max_header_bytes =
+                table->config().limits.max_header_bytes + max_relay_headers;
+            relay_server.shared().limits.max_body_bytes = table->config().limits.max_body_bytes;
         }
         update_state();
     }
@@ -279,12 +312,18 @@
             handle_stall(now);
         }
         last_tick = now;
-        for (auto* server : {&callers, &ready_page, &directory_page, &metrics_page}) {
+        for (auto* server :
+             {&callers, &relay_server, &ready_page, &directory_page, &metrics_page}) {
             server->close_expired(now);
         }
         registry.expire(now);
         sync.check_missed_changes(now);
-        reach.update(now);
+        reach_news_due = reach.update(now) || reach_news_due;
+        if (reach_news_due && now >= next_reach_news) {
+            next_reach_news = now + reach_news_interval;
+            reach_news_due = false;
+            gossip.broadcast_self();
+        }
         report_store_health();
         update_state();
         if (now >= next_second) {
@@ -365,6 +404,8 @@
         drain_start = boot_clock::now();
         callers.shared().draining = true;
         callers.close_idle(drain_start);
+        relay_server.shared().draining = true;
+        relay_server.close_idle(drain_start);
         gossip.broadcast_self();
         log_event(event::entry_leaving, {{"connections", std::to_string(callers.connections())},
                                          {"busy", std::to_string(callers.busy(drain_start))}});
@@ -374,12 +415,14 @@
     bool advance_drain(local_time now)
     {
         callers.close_idle(now);
+        relay_server.close_idle(now);
         const auto elapsed = now - drain_start;
         if (drain_phase_at(elapsed, settings.stop_grace, 0) == drain_phase::accepting) {
             return false;
         }
         callers.stop_accepting();
-        const auto busy = callers.busy(now);
+        relay_server.stop_accepting();
+        const auto busy = callers.busy(now) + relay_server.busy(now);
         if (drain_phase_at(elapsed, settings.stop_grace, busy) == drain_phase::finishing) {
             return false;
         }
@@ -407,7 +450,13 @@
             return;
         }
         const auto query = adapter.dialect.parse_directory_query(target);
-        const auto addresses = directory_addresses(members.alive(boot_clock::now()),
+        const auto now = boot_clock::now();
+        const auto is_isolated = [&](const member_entry& member) {
+            return member.address == members.self().address
+                       ? reach.isolated()
+                       : peers_reach.isolated(member.address, now);
+        };
+        const auto addresses = directory_addresses(members.alive(now), is_isolated,
                                                    query.failure_domain, members.self(), random);
         caller_response response{http_status::ok, {}, {}};
         response.headers.add("Content-Type", "application/json");
@@ -491,8 +540,10 @@
     upstream_prober prober;
     std::unique_ptr<choice_policy> policy;
     upstream_reach reach;
-    call_context calls;
     member_table members;
+    member_reach peers_reach;
+    relay_peers relays;
+    call_context calls;
     store_revision_tracker revision_tracker;
     start_guard starting;
     member_gossip gossip;
@@ -501,11 +552,16 @@
     store_applier applier;
     store_sync<platform::store_client> sync;
     caller_server callers;
+    /** Takes requests from VMs that cannot reach the upstreams. */
+    caller_server relay_server;
     caller_server ready_page;
     caller_server directory_page;
     caller_server metrics_page;
     asio::signal_set signals;
     asio::steady_timer tick_timer;
+    /** The others have to be told which upstreams this VM reaches. */
+    bool reach_news_due = false;
+    local_time next_reach_news;
     local_time last_tick;
     local_time next_second;
     local_time next_reload;
@@ -534,6 +590,7 @@
 {
     impl_->io.run();
     impl_->callers.close_all();
+    impl_->relay_server.close_all();
 }
 
 void entry_node::drain()
--- a/src/member_gossip.cpp
+++ b/src/member_gossip.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t max_limits = 40;
 /** Maximum number of requests that end upstreams in a heartbeat, some 60 bytes each. */
 constexpr std::size_t max_quarantine_reports = 20;
+/** Maximum number of VMs whose reach a heartbeat carries, some 20 bytes each. */
+constexpr std::size_t max_reach_reports = 100;
 /** Version of the wire format; datagrams of other versions are dropped. */
 constexpr unsigned format_version = 1;
 /** With fewer VMs alive than this, heartbeats are also sent to the seeds each period. */
@@ -47,6 +49,7 @@
 constexpr std::size_t view_index = 8;
 constexpr std::size_t quarantine_index = 9;
 constexpr std::size_t relay_index = 10;
+constexpr std::size_t reach_index = 11;
 /** Stands for a limit that has ended. */
 constexpr double ended_limit = -1;
 /** Id of the upstream, its limit (negative if it has ended), whether answers to probes and to
@@ -61,6 +64,8 @@
  * the last trial and of the last answer. */
 using wire_quarantine = std::tuple<std::uint64_t, std::vector<std::uint64_t>, wire_age,
                                    std::uint32_t, wire_age, wire_age>;
+/** Address of the VM, whether it is isolated, hashes of unreachable services, age of the report. */
+using wire_reach = std::tuple<std::uint32_t, bool, std::vector<std::uint64_t>, wire_age>;
 /** Stands for the age of what has not happened. */
 constexpr wire_age no_age = -1;
 using wire_update = std::tuple<std::uint32_t, std::uint64_t, std::uint64_t, std::uint8_t>;
@@ -161,6 +166,13 @@
     if (fields.size > relay_index) {
         decoded.relay_quarantine = fields.ptr[relay_index].as<bool>();
     }
+    if (fields.size > reach_index) {
+        for (const auto& [address, isolated, unreachable, age] :
+             fields.ptr[reach_index].as<std::vector<wire_reach>>()) {
+            decoded.reach.push_back({to_address(address), isolated, unreachable,
+                                     to_age(age).value_or(milliseconds{0})});
+        }
+    }
     if (fields.size > wanted_index) {
         const auto wanted = fields.ptr[wanted_index].as<std::vector<std::uint32_t>>();
         std::ranges::transform(wanted, std::back_inserter(decoded.wanted), to_address);
@@ -207,11 +219,17 @@
     }
     std::vector<std::uint32_t> wanted;
     std::ranges::transform(message.wanted, std::back_inserter(wanted), to_number);
+    std::vector<wire_reach> reach;
+    std::ranges::transform(message.reach, std::back_inserter(reach),
+                           [](const reach_report& report) {
+                               return wire_reach{to_number(report.address), report.isolated,
+                                                 report.unreachable, report.age.count()};
+                           });
     std::vector<wire_quarantine> quarantine;
     std::ranges::transform(message.quarantine, std::back_inserter(quarantine), to_wire);
-    msgpack::pack(buffer,
-                  std::tuple{format_version, entries, revisions, message.store_answers, updates,
-                             wanted, eras, limits, view, quarantine, message.relay_quarantine});
+    msgpack::pack(buffer, std::tuple{format_version, entries, revisions, message.store_answers,
+                                     updates, wanted, eras, limits, view, quarantine,
+                                     message.relay_quarantine, reach});
     return {buffer.data(), buffer.size()};
 }
 
@@ -264,6 +282,7 @@
 {
     heartbeat message{std::move(entries), revisions_.local_revisions(), callbacks_.store_answers()};
     message.view = callbacks_.view();
+    message.reach = callbacks_.reach(max_reach_reports);
     return message;
 }
 
@@ -387,6 +406,7 @@
     revisions_.record_remote(received.revisions, now);
     std::ranges::for_each(received.limits, callbacks_.on_limit);
     callbacks_.on_view(received.view);
+    std::ranges::for_each(received.reach, callbacks_.on_reach);
     for (const auto& report : received.quarantine) {
         callbacks_.on_quarantine({report, received.relay_quarantine}, sender);
     }
--- a/src/member_gossip.hpp
+++ b/src/member_gossip.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "async_func.hpp"
+#include "member_reach.hpp"
 #include "member_table.hpp"
 #include "quarantine_exchange.hpp"
 #include "store_news.hpp"
@@ -37,6 +38,8 @@
     std::vector<quarantine_report> quarantine{};
     /** The receiver passes changed verdicts on such requests on to all VMs. */
     bool relay_quarantine = false;
+    /** Which services VMs cannot reach, the sender first. */
+    std::vector<reach_report> reach{};
 };
 
 /** Encodes a heartbeat for the wire. */
@@ -60,6 +63,12 @@
     std::function<store_view()> view = [] { return store_view{}; };
     /** Another VM reports the store's state. */
     std::function<void(const store_view&)> on_view = [](const store_view&) {};
+    /** What this VM and others say of the upstreams that they reach, at most so many. */
+    std::function<std::vector<reach_report>(std::size_t max_reports)> reach = [](std::size_t) {
+        return std::vector<reach_report>{};
+    };
+    /** A VM reports which services it cannot reach. */
+    std::function<void(const reach_report&)> on_reach = [](const reach_report&) {};
     /** The requests that end upstreams to report, at most so many. */
     std::function<std::vector<quarantine_report>(std::size_t max_reports)> quarantine =
         [](std::size_t) { return std::vector<quarantine_report>{}; };
--- a/src/tests/directory_test.cpp
+++ b/src/tests/directory_test.cpp
@@ -22,7 +22,8 @@
 addresses answered_addresses(const std::vector<member_entry>& members, const std::string& domain)
 {
     static random_engine random{1};
-    return directory_addresses(members, domain, member("a", "north"), random);
+    return directory_addresses(
+        members, [](const member_entry&) { return false; }, domain, member("a", "north"), random);
 }
 
 } // namespace
@@ -68,3 +69,15 @@
                                                  [](const auto& item) { return item.second; });
     CHECK(rarest->second > answers * 0.64 / 2);
 }
+
+TEST_CASE("VMs that reach no upstream are left out of answers while others are ready")
+{
+    random_engine random{1};
+    const auto is_isolated = [](const member_entry& vm) { return vm.name != "d"; };
+    std::vector<member_entry> members{member("a", "north"), member("b", "north"),
+                                      member("c", "south"), member("d", "south")};
+    const auto self = members.front();
+    CHECK(directory_addresses(members, is_isolated, "north", self, random) == addresses{"d:70"});
+    members.pop_back();
+    CHECK(directory_addresses(members, is_isolated, "north", self, random).size() == 3);
+}
--- a/src/tests/member_table_test.cpp
+++ b/src/tests/member_table_test.cpp
@@ -301,3 +301,17 @@
     CHECK_FALSE(first.answered_ago);
     CHECK(received->quarantine.back().answered_ago == milliseconds{9});
 }
+
+TEST_CASE("a heartbeat carries which services VMs cannot reach")
+{
+    heartbeat message;
+    message.reach = {{"10.0.0.1", true, {}, milliseconds{0}},
+                     {"10.0.0.2", false, {7, 8}, milliseconds{300}}};
+    const auto received = decode_heartbeat(encode_heartbeat(message));
+    REQUIRE(received);
+    REQUIRE(received->reach.size() == 2);
+    CHECK(received->reach.front().isolated);
+    CHECK(received->reach.front().address == "10.0.0.1");
+    CHECK(received->reach.back().unreachable == std::vector<std::uint64_t>{7, 8});
+    CHECK(received->reach.back().age == milliseconds{300});
+}
--- a/src/upstream_reach.cpp
+++ b/src/upstream_reach.cpp
@@ -12,8 +12,6 @@
 
 /** Silent upstreams that show that none can be reached, if there are so many. */
 constexpr std::size_t min_silent = 3;
-/** Time without an answer after which they do; some ten times as long as a probe takes. */
-constexpr milliseconds min_silence{100};
 /** Interval at which upstreams of an unreachable service are probed, and their number. */
 constexpr milliseconds probe_interval{400};
 constexpr std::size_t probes_at_once = 3;
--- a/src/upstream_reach.hpp
+++ b/src/upstream_reach.hpp
@@ -11,6 +11,10 @@
 
 namespace sniperock {
 
+/** Time without an answer after which silent upstreams show that none can be reached; some ten
+ * times as long as a probe takes. */
+inline constexpr milliseconds min_silence{100};
+
 /**
  * True if several upstreams in a row were silent and none of @p items has answered since. Each VM
  * sees this for itself: the upstreams may be down, or the VM may be cut off from them.
