Change: What a VM spends on its reach does not grow with calls and idle peers

Change: idle connections to VMs expire like those to upstreams; the list is only built while a service is unreachable; a request whose search had no answer is passed on only if an upstream of the service is silent.

--- a/src/call.cpp
+++ b/src/call.cpp
@@ -159,13 +159,17 @@
     return origin_ == call_origin::caller && relays_ < max_relays && sends_ < max_sends();
 }
 
-/** True if no upstream of the service has answered lately: they may be out of reach. */
+/** True if an upstream of the service is silent and none has answered lately: they may be out of
+ * reach, which is known for certain only later. */
 bool call::none_answered() const
 {
     const auto now = boot_clock::now();
-    return std::ranges::none_of(
-        context_.registry.of_service(service_),
-        [now](const upstream_ptr& item) { return now - item->answered_at < min_silence; });
+    const auto& items = context_.registry.of_service(service_);
+    return std::ranges::any_of(
+               items, [](const upstream_ptr& item) { return item->silent_since.has_value(); }) &&
+           std::ranges::none_of(items, [now](const upstream_ptr& item) {
+               return now - item->answered_at < min_silence;
+           });
 }
 
 /** Upstreams that the request may be sent to. */
--- a/src/call_relay.hpp
+++ b/src/call_relay.hpp
@@ -43,6 +43,15 @@
      */
     upstream_ptr pick(std::string_view service, const std::set<std::string>& tried, local_time now);
 
+    /** Calls @p visit(upstream&) for each VM that was selected before. */
+    template <typename Visit>
+    void for_each(Visit visit) const
+    {
+        for (const auto& [address, peer] : peers_) {
+            visit(*peer);
+        }
+    }
+
 private:
     upstream_ptr peer_at(const member_entry& member);
 
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -344,7 +344,9 @@
 
     void run_every_second(local_time now)
     {
-        registry.for_each([now](upstream& entry) { upstream_pool::close_idle(entry, now); });
+        const auto close_idle = [now](upstream& entry) { upstream_pool::close_idle(entry, now); };
+        registry.for_each(close_idle);
+        relays.for_each(close_idle);
         calls.fleet = {settings.vm_name, members.possibly_running_names(now),
                        now - calls.started >= settle_time};
         const auto alive = members.alive(now);
--- a/src/upstream_reach.cpp
+++ b/src/upstream_reach.cpp
@@ -45,15 +45,13 @@
 bool upstream_reach::update(local_time now)
 {
     std::set<std::string, std::less<>> unreachable;
-    std::vector<upstream_ptr> all;
     registry_.for_each_service(
         [&](const std::string& service, std::span<const upstream_ptr> items) {
-            all.insert(all.end(), items.begin(), items.end());
             if (none_reachable(items, registry_, now)) {
                 unreachable.insert(service);
             }
         });
-    const bool isolated = !unreachable.empty() && none_reachable(all, registry_, now);
+    const bool isolated = !unreachable.empty() && none_reachable(all_upstreams(), registry_, now);
     const bool changed = unreachable != services_ || isolated != isolated_;
     if (changed) {
         std::string names;
@@ -72,6 +70,15 @@
     return changed;
 }
 
+std::vector<upstream_ptr> upstream_reach::all_upstreams() const
+{
+    std::vector<upstream_ptr> all;
+    registry_.for_each_service([&](const std::string&, std::span<const upstream_ptr> items) {
+        all.insert(all.end(), items.begin(), items.end());
+    });
+    return all;
+}
+
 void upstream_reach::probe_unreachable()
 {
     for (const auto& service : services_) {
--- a/src/upstream_reach.hpp
+++ b/src/upstream_reach.hpp
@@ -8,6 +8,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace sniperock {
 
@@ -42,6 +43,7 @@
     [[nodiscard]] const std::set<std::string, std::less<>>& services() const { return services_; }
 
 private:
+    [[nodiscard]] std::vector<upstream_ptr> all_upstreams() const;
     void probe_unreachable();
 
     const upstream_registry& registry_;
