--- a/src/tests/caller_session_test.cpp
+++ b/src/tests/caller_session_test.cpp
@@ -17,6 +17,16 @@
 
 const std::string get_request = "GET /status/1 HTTP/1.1\r\nHost: a.example\r\n\r\n";
 
+/** Several requests, sent at once. */
+std::string pipelined_requests(int count)
+{
+    std::string bytes;
+    for (int i = 0; i < count; ++i) {
+        bytes += get_request;
+    }
+    return bytes;
+}
+
 /** A listening port, and a caller whose reset the sessions have not seen yet. */
 struct reset_fixture {
     reset_fixture() : server(io, make_context(), 10), caller(io)
@@ -115,7 +125,7 @@
 {
     for (int i = 0; i < repeats; ++i) {
         reset_fixture setup;
-        setup.send(get_request + get_request + get_request);
+        setup.send(pipelined_requests(3));
         setup.receive(3);
         setup.reset();
         setup.exchanges[0]->respond({200, {}, "body"});
@@ -134,7 +144,7 @@
         setup.on_request = [](const exchange_ptr& exchange) {
             exchange->respond({200, {}, "body"});
         };
-        setup.send(get_request + get_request + get_request);
+        setup.send(pipelined_requests(3));
         setup.reset();
         setup.settle();
         CHECK(setup.exchanges.size() <= 3);
--- a/src/tests/upstream_reach_test.cpp
+++ b/src/tests/upstream_reach_test.cpp
@@ -110,7 +110,9 @@
         vm.reach.update(vm.now);
     }
     CHECK(std::set<std::string>(vm.probed.begin(), vm.probed.end()).size() == 8);
-    CHECK(vm.probed.size() <= 25 * 3);
+    constexpr std::size_t rounds = 25;
+    constexpr std::size_t probes_a_round = 3;
+    CHECK(vm.probed.size() <= rounds * probes_a_round);
 }
 
 TEST_CASE("a service with a single upstream is unreachable when that is silent")
