Fix: Heartbeats name only VMs that cannot reach something

Cause: each heartbeat said of every VM that it reaches everything, up to 100 at some 17 bytes: 1.7 KB a heartbeat in a fleet of hundreds, worked out while reading the change, where 3 KB were planned in all.

Change: a VM reports its reach while it cannot reach something and for 6 s after; others pass on only what is missing. Its end is told to all at once and holds over older reports, which end after 6 s by themselves.

Test: VMs that reach everything cost nothing (member_reach_test).

--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -209,13 +209,17 @@
         });
     }
 
-    /** What this VM and others say of the upstreams that they reach, this VM first. */
+    /** What VMs say of the upstreams that they cannot reach. This VM is among them if it cannot
+     * reach some, or could not lately. */
     std::vector<reach_report> reach_reports(std::size_t max_reports)
     {
+        const auto now = boot_clock::now();
         reach_report own{members.self().address, reach.isolated(), {}, milliseconds{0}};
         std::ranges::transform(reach.services(), std::back_inserter(own.unreachable), service_hash);
-        auto reports = peers_reach.reports(max_reports, boot_clock::now());
-        reports.insert(reports.begin(), std::move(own));
+        auto reports = peers_reach.reports(max_reports, now);
+        if (!own.reaches_all() || now - reach_changed_at < reach_report_lifetime) {
+            reports.push_back(std::move(own));
+        }
         return reports;
     }
 
@@ -318,7 +322,10 @@
         }
         registry.expire(now);
         sync.check_missed_changes(now);
-        reach_news_due = reach.update(now) || reach_news_due;
+        if (reach.update(now)) {
+            reach_changed_at = now;
+            reach_news_due = true;
+        }
         if (reach_news_due && now >= next_reach_news) {
             next_reach_news = now + reach_news_interval;
             reach_news_due = false;
@@ -564,6 +571,7 @@
     /** The others have to be told which upstreams this VM reaches. */
     bool reach_news_due = false;
     local_time next_reach_news;
+    local_time reach_changed_at;
     local_time last_tick;
     local_time next_second;
     local_time next_reload;
--- a/src/member_gossip.hpp
+++ b/src/member_gossip.hpp
@@ -38,7 +38,7 @@
     std::vector<quarantine_report> quarantine{};
     /** The receiver passes changed verdicts on such requests on to all VMs. */
     bool relay_quarantine = false;
-    /** Which services VMs cannot reach, the sender first. */
+    /** Which services VMs cannot reach. */
     std::vector<reach_report> reach{};
 };
 
@@ -63,7 +63,7 @@
     std::function<store_view()> view = [] { return store_view{}; };
     /** Another VM reports the store's state. */
     std::function<void(const store_view&)> on_view = [](const store_view&) {};
-    /** What this VM and others say of the upstreams that they reach, at most so many. */
+    /** What VMs say of the upstreams that they cannot reach, at most so many of others. */
     std::function<std::vector<reach_report>(std::size_t max_reports)> reach = [](std::size_t) {
         return std::vector<reach_report>{};
     };
--- a/src/member_reach.cpp
+++ b/src/member_reach.cpp
@@ -8,8 +8,6 @@
 namespace sniperock {
 namespace {
 
-/** A report holds for this time; a VM repeats it with each heartbeat. */
-constexpr seconds report_lifetime{6};
 /** A report is newer only by more than this, since its age lacks the time that it was on its way.
  */
 constexpr milliseconds report_delay{250};
@@ -25,12 +23,12 @@
 
 void member_reach::apply(const reach_report& report, local_time now)
 {
-    if (report.address == self_ || report.age < milliseconds{0} || report.age >= report_lifetime ||
-        report.unreachable.size() > max_services) {
+    if (report.address == self_ || report.age < milliseconds{0} ||
+        report.age >= reach_report_lifetime || report.unreachable.size() > max_services) {
         return;
     }
     std::erase_if(records_, [now](const auto& item) {
-        return now - item.second.observed_at >= report_lifetime;
+        return now - item.second.observed_at >= reach_report_lifetime;
     });
     const auto observed_at = now - report.age;
     const auto found = records_.find(report.address);
@@ -40,13 +38,16 @@
         observed_at <= found->second.observed_at + report_delay) {
         return;
     }
-    records_.insert_or_assign(report.address, record{report, observed_at});
+    if (found != records_.end() || !report.reaches_all()) {
+        records_.insert_or_assign(report.address, record{report, observed_at});
+    }
 }
 
 const member_reach::record* member_reach::recent(std::string_view address, local_time now) const
 {
     const auto found = records_.find(address);
-    const bool known = found != records_.end() && now - found->second.observed_at < report_lifetime;
+    const bool known =
+        found != records_.end() && now - found->second.observed_at < reach_report_lifetime;
     return known ? &found->second : nullptr;
 }
 
@@ -71,7 +72,8 @@
     std::vector<reach_report> result;
     for (const auto& [address, item] : records_) {
         const auto age = std::chrono::duration_cast<milliseconds>(now - item.observed_at);
-        if (age >= report_lifetime || result.size() >= max_reports) {
+        if (age >= reach_report_lifetime || item.report.reaches_all() ||
+            result.size() >= max_reports) {
             continue;
         }
         result.push_back(item.report);
--- a/src/member_reach.hpp
+++ b/src/member_reach.hpp
@@ -22,8 +22,14 @@
     std::vector<std::uint64_t> unreachable{};
     /** Time since it observed this. */
     milliseconds age{0};
+
+    [[nodiscard]] bool reaches_all() const { return !isolated && unreachable.empty(); }
 };
 
+/** Time for which a report holds; a VM that cannot reach something repeats it with each heartbeat.
+ */
+inline constexpr seconds reach_report_lifetime{6};
+
 /** Hash by which a service is named in reports. */
 std::uint64_t service_hash(std::string_view service);
 
@@ -39,7 +45,7 @@
                                    local_time now) const;
     /** True if the VM has reported lately that it reaches no upstream. */
     [[nodiscard]] bool isolated(std::string_view address, local_time now) const;
-    /** Up to @p max_reports recent reports, to be passed on. */
+    /** Up to @p max_reports recent reports of VMs that cannot reach something, to be passed on. */
     [[nodiscard]] std::vector<reach_report> reports(std::size_t max_reports, local_time now) const;
 
 private:
--- a/src/tests/member_reach_test.cpp
+++ b/src/tests/member_reach_test.cpp
@@ -57,6 +57,15 @@
     CHECK_FALSE(reach.isolated("10.0.0.5", start));
 }
 
+TEST_CASE("VMs that reach everything cost nothing")
+{
+    member_reach reach("10.0.0.1");
+    reach.apply(report_of("10.0.0.2", false), start);
+    reach.apply(report_of("10.0.0.3", true), start);
+    reach.apply(report_of("10.0.0.3", false), start + seconds{1});
+    CHECK(reach.reports(10, start + seconds{1}).empty());
+}
+
 TEST_CASE("reports are passed on with their age, and not as first-hand ones")
 {
     member_reach reach("10.0.0.1");
