--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,13 @@
+#!/bin/sh
+# Builds the programs of the cases into target/review. Run from anywhere.
+set -e
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+for source in review/*/case.cpp; do
+    number=$(basename "$(dirname "$source")")
+    g++ -std=c++20 -O1 -g -Wall -Wextra -pthread -o "target/review/case-$number" "$source" &
+done
+wait
+for source in review/*/case.cpp; do
+    test -x "target/review/case-$(basename "$(dirname "$source")")"
+done
