--- a/review/2/case.cpp
+++ b/review/3/case.cc
@@ -1,10 +1,10 @@
-/** @file case.cpp A planned stop cuts off requests that the VM has accepted and passed on.
+/** @file case.cc A planned stop cuts off requests that the VM has accepted and passed on.
  *
  * SIGTERM at a VM. Clients that keep the directory's answer three times as long as it says connect
  * to it some seconds later, as PROTOCOL.md allows, and send bookings, which run at instances. Other
  * clients have kept connections, on which they send a further request before the last one is
  * answered; the VM never tells them to stop. */
-#include "../lab/lab.hpp"
+#include "../lab/lab.hh"
 
 using namespace lab;
 
@@ -74,17 +74,16 @@
             return request.method() == "POST" ? longest_work_ms : look_work_ms;
         };
     }
-    site.configure({{"job-confirm", "/confirm/", "non_idempotent", timeout_ms, 600, 1,
-                     "order-desk", 2},
-                    {"order-look", "/look/", "idempotent", look_timeout_ms, 500, 2, "order-desk",
-                     2}});
+    site.configure(
+        {{"job-confirm", "/confirm/", "non_idempotent", timeout_ms, 600, 1, "order-desk", 2},
+         {"order-look", "/look/", "idempotent", look_timeout_ms, 500, 2, "order-desk", 2}});
     site.start();
 
     const auto& stopped = site.vms.at(1);
     const auto cached = site.ask_directory(stopped);
     record("directory before SIGTERM: %s", cached.dump().c_str());
-    const bool named = cached.is_object() && cached.dump().find(site.front_of(stopped)) !=
-                                                 std::string::npos;
+    const bool named =
+        cached.is_object() && cached.dump().find(site.front_of(stopped)) != std::string::npos;
     if (!named) {
         end_case(not_run, "the directory does not name the VM");
     }
@@ -165,10 +164,11 @@
             const bool sent_late = item.sent_ms - term > 3000;
             const bool planned = item.ended_ms - term <= (limits.grace_s + 1) * 1000;
             const bool in_time = item.ended_ms - item.sent_ms < look_timeout_ms;
-            record("look %s, sent %ld ms after the signal on a kept connection: no answer when that "
-                   "ended, %ld ms after the signal%s",
-                   item.id.c_str(), item.sent_ms - term, item.ended_ms - term,
-                   passed_on ? "; it had been passed on" : "");
+            record(
+                "look %s, sent %ld ms after the signal on a kept connection: no answer when that "
+                "ended, %ld ms after the signal%s",
+                item.id.c_str(), item.sent_ms - term, item.ended_ms - term,
+                passed_on ? "; it had been passed on" : "");
             looks_lost += passed_on && sent_late && planned && in_time ? 1 : 0;
         }
     }
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,11 +3,12 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/*/case.cpp; do
+rm -f target/review/case-*
+for source in review/*/case.cc; do
     number=$(basename "$(dirname "$source")")
     g++ -std=c++20 -O1 -g -Wall -Wextra -pthread -o "target/review/case-$number" "$source" &
 done
 wait
-for source in review/*/case.cpp; do
+for source in review/*/case.cc; do
     test -x "target/review/case-$(basename "$(dirname "$source")")"
 done
--- a/review/lab/lab.hpp
+++ b/review/lab/lab.hh
@@ -1,4 +1,4 @@
-/** @file lab.hpp Stand-ins of store, instances and clients for the cases of the review, and the
+/** @file lab.hh Stand-ins of store, instances and clients for the cases of the review, and the
  * start of a small deployment: three VMs as processes of their own, on loopback addresses.
  *
  * Header only and independent of the project's sources: sockets, threads and the JSON library that
@@ -126,7 +126,8 @@
     [[nodiscard]] std::optional<std::string> header(std::string_view name) const
     {
         for (const auto& [key, value] : headers) {
-            if (key.size() == name.size() && strncasecmp(key.data(), name.data(), name.size()) == 0) {
+            if (key.size() == name.size() &&
+                strncasecmp(key.data(), name.data(), name.size()) == 0) {
                 return value;
             }
         }
@@ -256,8 +257,8 @@
                 }
             }
         }
-        const auto length = std::strtoul(result.header("content-length").value_or("0").c_str(),
-                                         nullptr, 10);
+        const auto length =
+            std::strtoul(result.header("content-length").value_or("0").c_str(), nullptr, 10);
         while (input_.size() < length) {
             if (!more()) {
                 result.body = std::exchange(input_, {});
@@ -393,6 +394,9 @@
         history_.push_back({kind, revision_, {{"object", item}, {"deleted", true}}, now_ms()});
         changed_.notify_all();
     }
+    /** Bytes that the store gives in place of the text @c odd_mark, as another writer left them. */
+    std::string odd;
+    inline static const std::string odd_mark = "(odd)";
     /** Age of the state that a stale read of a page shows; @c first: the page has no `after`. */
     std::function<long(bool first)> stale_ms = [](bool) { return 0L; };
     std::size_t page_size = 50;
@@ -423,9 +427,14 @@
         message request;
         while (peer.read(request, 120'000)) {
             int status = 200;
-            const auto body = answer(request, status);
-            if (!peer.send(response(
-                    status, "Content-Type: application/json\r\nStore-Era: 1\r\n", body.dump()))) {
+            auto body = answer(request, status).dump();
+            const auto mark = '"' + odd_mark + '"';
+            for (auto at = body.find(mark); at != std::string::npos; at = body.find(mark, at)) {
+                body.replace(at, mark.size(), odd);
+                at += odd.size();
+            }
+            if (!peer.send(
+                    response(status, "Content-Type: application/json\r\nStore-Era: 1\r\n", body))) {
                 return;
             }
         }
@@ -567,11 +576,11 @@
     [[nodiscard]] json entry(const std::string& zone, const std::string& state = "ready",
                              int seq = 1) const
     {
-        return {{"address", address()},
-                {"born", 1'700'000'000'000},
-                {"info",
-                 {{"service", service}, {"version", "v1"}, {"zone", zone}, {"slots", slots}}},
-                {"status", {{"state", state}, {"seq", seq}, {"cold_remaining_ms", 0}}}};
+        return {
+            {"address", address()},
+            {"born", 1'700'000'000'000},
+            {"info", {{"service", service}, {"version", "v1"}, {"zone", zone}, {"slots", slots}}},
+            {"status", {{"state", state}, {"seq", seq}, {"cold_remaining_ms", 0}}}};
     }
     [[nodiscard]] std::string load()
     {
@@ -596,9 +605,9 @@
         message request;
         std::string last;
         while (peer.read(request, 10'000)) {
-            const bool open = request.complete && (request.target() == "/healthz"
-                                                       ? answer_health(peer, last)
-                                                       : respond(peer, request, last));
+            const bool open =
+                request.complete && (request.target() == "/healthz" ? answer_health(peer, last)
+                                                                    : respond(peer, request, last));
             if (!open) {
                 return;
             }
@@ -751,9 +760,9 @@
     {
         const auto number = instances.size() + 1;
         const auto zone = zones_.at(instances.size() % zones_.size());
-        instances.push_back(std::make_unique<instance>(net_ + "." + std::to_string(100 + number % 100),
-                                                       prefix + random_id().substr(0, 8), service,
-                                                       slots));
+        instances.push_back(
+            std::make_unique<instance>(net_ + "." + std::to_string(100 + number % 100),
+                                       prefix + random_id().substr(0, 8), service, slots));
         platform->put("servers", instances.back()->id, instances.back()->entry(zone));
         return *instances.back();
     }
@@ -807,8 +816,8 @@
         }
         std::string seeds;
         for (std::size_t i = 0; i < zones_.size(); ++i) {
-            vms.push_back({"front-" + zones_.at(i) + "-1", zones_.at(i),
-                           net_ + "." + std::to_string(i + 1)});
+            vms.push_back(
+                {"front-" + zones_.at(i) + "-1", zones_.at(i), net_ + "." + std::to_string(i + 1)});
             seeds += (i > 0 ? "," : "") + vms.back().ip + ":" + std::to_string(base_ + 5);
         }
         seeds_ = seeds;
@@ -834,6 +843,20 @@
         wait_until_ready(item);
         record("%s is ready again", item.name.c_str());
     }
+    /** Starts a VM's process again if it has ended. @return how it ended, in words; empty if it
+     * runs. */
+    std::string restart_if_ended(vm& item)
+    {
+        int status = 0;
+        if (::waitpid(item.pid, &status, WNOHANG) != item.pid) {
+            return "";
+        }
+        std::erase(children, item.pid);
+        sleep_ms(300);
+        launch(item, seeds_);
+        return WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
+                                   : "exit code " + std::to_string(WEXITSTATUS(status));
+    }
     [[nodiscard]] int front_port() const { return base_; }
     [[nodiscard]] std::string front_of(const vm& item) const
     {
@@ -858,7 +881,8 @@
     }
 
     static std::string request(const std::string& method, const std::string& path,
-                               const std::string& id, long deadline_ms, const std::string& body = "")
+                               const std::string& id, long deadline_ms,
+                               const std::string& body = "")
     {
         std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + host +
                            "\r\nSniperock-Attempt-Id: " + id +
@@ -943,8 +967,8 @@
             const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
             ::dup2(out, STDOUT_FILENO);
             ::dup2(out, STDERR_FILENO);
-            ::execl("target/sniperock", "target/sniperock", "entry", "--settings",
-                    settings.c_str(), static_cast<char*>(nullptr));
+            ::execl("target/sniperock", "target/sniperock", "entry", "--settings", settings.c_str(),
+                    static_cast<char*>(nullptr));
             ::_exit(127);
         }
         children.push_back(item.pid);
