--- a/review/lab/lab.hh
+++ b/review/lab/lab.hh
@@ -744,8 +744,9 @@
         ::signal(SIGPIPE, SIG_IGN);
         std::random_device random;
         net_ = "127." + std::to_string(60 + random() % 60) + "." + std::to_string(random() % 250);
-        char pattern[] = "/tmp/sniperock-review-XXXXXX";
-        if (record_file == nullptr || ::mkdtemp(pattern) == nullptr) {
+        auto pattern =
+            (std::filesystem::temp_directory_path() / "sniperock-review-XXXXXX").string();
+        if (record_file == nullptr || ::mkdtemp(pattern.data()) == nullptr) {
             end_case(not_run, "no record or temporary folder");
         }
         folder_ = temporary_folder = pattern;
