--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -3,7 +3,7 @@
  *
  * The variable ODD chooses the entry: deep (as above), number or surrogate. With the last two, all
  * processes are killed once after the entry is written, and none serves again. */
-#include "../lab/lab.hh"
+#include "../lab.hh"
 
 using namespace lab;
 
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -4,7 +4,7 @@
  * to it some seconds later, as PROTOCOL.md allows, and send bookings, which run at instances. Other
  * clients have kept connections, on which they send a further request before the last one is
  * answered; the VM never tells them to stop. */
-#include "../lab/lab.hh"
+#include "../lab.hh"
 
 using namespace lab;
 
