Fix: One object in the store that cannot be read no longer ends or blinds a VM

With 1e999 or "\ud800" in an entry no VM became ready after a restart.

Cause: an answer of the store was parsed as one value, so that a part that fits no value hid all other objects, and specs were copied by a function that recurses once a level.

A watch that cannot be read is replaced by a listing.

Ruled out: the parser itself and the end of a deep value, which do not recurse.

--- a/src/clock_type.hpp
+++ b/src/clock_type.hpp
@@ -2,6 +2,7 @@
  * that hosts share. */
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 
@@ -29,6 +30,18 @@
 /** A point in wall-clock time; transmitted between hosts as microseconds since 1970 in UTC. */
 using wall_time = std::chrono::time_point<std::chrono::system_clock, microseconds>;
 
+/** Bound of the times that other processes state: a time point plus this does not overflow. */
+inline constexpr milliseconds max_stated_time = std::chrono::hours{24};
+
+/** Converts a time that another process states to whole milliseconds, limited to max_stated_time in
+ * both directions. @param ms in milliseconds; 0 if it is no number. */
+constexpr milliseconds to_stated_time(double ms) noexcept
+{
+    constexpr auto limit = static_cast<double>(max_stated_time.count());
+    return ms == ms ? milliseconds{static_cast<std::int64_t>(std::clamp(ms, -limit, limit))}
+                    : milliseconds{0};
+}
+
 /** Current wall-clock time of this machine, which may jump. */
 wall_time wall_now();
 
--- a/src/member_gossip.cpp
+++ b/src/member_gossip.cpp
@@ -248,6 +248,10 @@
             if (!is_state(state)) {
                 return std::nullopt;
             }
+            if (to_number(address) == 0) {
+                // It would be named in the directory; the other entries hold.
+                continue;
+            }
             decoded.entries.push_back({address,
                                        port,
                                        name,
--- a/src/store_sync.hpp
+++ b/src/store_sync.hpp
@@ -184,15 +184,20 @@
         try {
             const auto listing = co_await store_.list(schema_.vms, read_mode::fresh);
             for (const auto& object : listing.objects) {
-                gossip.send_heartbeat_to(object.spec.value("address", ""));
+                const auto& spec = object.spec;
+                const auto address = spec.is_object() ? spec.find("address") : spec.end();
+                if (address != spec.end() && address->is_string()) {
+                    gossip.send_heartbeat_to(address->template get<std::string>());
+                }
+                else {
+                    log_event(event::store_entry_refused,
+                              {{"object", object.name}, {"reason", "entry has no address"}});
+                }
             }
         }
         catch (const store_error& error) {
             log_event(event::vm_not_registered, {{"reason", error.what()}});
         }
-        catch (const nlohmann::json::exception& fault) {
-            log_event(event::vm_not_registered, {{"reason", fault.what()}});
-        }
     }
 
 private:
--- a/src/store_watcher.hpp
+++ b/src/store_watcher.hpp
@@ -362,6 +362,10 @@
             log_event(event::store_history_gone, {{"kind", kind_}});
             return;
         }
+        if (error.failure() == store_failure::malformed) {
+            // The same watch would get the same answer, and no later change would be seen.
+            has_listing_ = false;
+        }
         if (failures_++ == 0) {
             const auto now = boot_clock::now();
             failing_since_ = std::min(now, health_.failing_since().value_or(now));
--- a/src/tests/member_table_test.cpp
+++ b/src/tests/member_table_test.cpp
@@ -272,6 +272,19 @@
     CHECK_FALSE(decode_heartbeat(""));
 }
 
+// Guards against an address that the directory cannot name: it ended the process.
+TEST_CASE("an entry whose address is none is left out, and the others of the heartbeat are read")
+{
+    const auto entry = [](const std::string& address) {
+        return member_entry{address, 80, "vm", "north", {1}, 1, member_state::ready};
+    };
+    const auto received = decode_heartbeat(encode_heartbeat(
+        {{entry("10.0.0.1"), entry("\xff\xfe"), entry("a.example"), entry("10.0.0.2")}, {}}));
+    REQUIRE(received);
+    REQUIRE(received->entries.size() == 2);
+    CHECK(received->entries.back().address == "10.0.0.2");
+}
+
 TEST_CASE("a heartbeat with huge length fields is rejected without allocating memory for it")
 {
     // An array of 2^31 elements, a string of 2^31 bytes, and arrays inside arrays.
--- a/src/upstream_probe.cpp
+++ b/src/upstream_probe.cpp
@@ -141,7 +141,7 @@
 {
     if (const auto cold = headers.find(dialect_.cold_ms)) {
         const auto left = parse_unsigned(cold->substr(0, cold->find('.')));
-        item.cold_until = left ? now + milliseconds{*left} : now;
+        item.cold_until = left ? now + to_stated_time(static_cast<double>(*left)) : now;
     }
     const auto load = headers.find(dialect_.load);
     if (const auto report = load ? dialect_.parse_load(*load) : std::nullopt) {
