Fix: A stopped VM answers, or refuses in time, every request that it accepts

Cause: connections were accepted for 0.65 of the grace period, and the process ended at 0.85 of it, whatever the deadline of what it had accepted; an answer closed its connection only if no request had been read behind it; and what was in flight at the end was not answered. Ruled out: the upstreams (all sound, all answered what they finished) and the callers' own limits.

Change: from half of the grace period on (3 s at most) a request is accepted only if its deadline or its route's timeout ends before the exit, else refused at once as not run, with Retry-After 0. While a VM shuts down, a connection reads nothing behind a request, so each answer closes it. What is in flight at 0.97 of the grace period is answered: 504 if an upstream may have run it, else 503. The process waits for callers to close their side, and does not close a connection whose input is unread. Calls that end so are logged as `leaving` and `cut-off`.

--- a/src/call.cpp
+++ b/src/call.cpp
@@ -60,12 +60,17 @@
 task<> call::process()
 {
     exchange_->on_abandoned([self = shared_from_this()] { self->abandon(); });
+    exchange_->on_exit([self = shared_from_this()] { self->end_for_exit(); });
     id_ = exchange_->request().head.headers.find(context_.dialect.attempt_id).value_or("");
     fingerprint_ = fingerprint_of(exchange_->request());
     if (!find_route()) {
         co_return;
     }
     read_deadline();
+    if (!may_accept(context_.leaving, boot_clock::now(), deadline_)) {
+        refuse(call_end::leaving);
+        co_return;
+    }
     if (context_.quarantine.verdict(fingerprint_, boot_clock::now()) ==
         quarantine_verdict::refused) {
         refuse(call_end::quarantined);
@@ -431,9 +436,14 @@
         const auto target = route_ == nullptr ? default_target_latency : route_->target_latency;
         const auto remaining =
             route_ == nullptr ? target : std::max(to_milliseconds(time_left()), milliseconds{0});
-        const auto delay = end == call_end::quarantined
-                               ? context_.quarantine.remaining(fingerprint_, boot_clock::now())
-                               : retry_delay(target, remaining, context_.random);
+        auto delay = retry_delay(target, remaining, context_.random);
+        if (end == call_end::quarantined) {
+            delay = context_.quarantine.remaining(fingerprint_, boot_clock::now());
+        }
+        else if (end == call_end::leaving) {
+            // The other VMs can take it at once.
+            delay = milliseconds{0};
+        }
         answer.headers.add("Retry-After", format_retry_after(delay));
     }
     if (origin_ == call_origin::relay) {
@@ -465,6 +475,18 @@
              context_.settings);
 }
 
+/** The process exits: answers the request now, as there is no later time to do so. */
+void call::end_for_exit()
+{
+    if (*finished_) {
+        return;
+    }
+    const bool may_have_run =
+        runs_ > 0 || std::ranges::any_of(attempts_, &call_attempt::may_have_run);
+    refuse(may_have_run ? call_end::cut_off : call_end::leaving);
+    changed_->notify();
+}
+
 /** The caller closed its connection: closes those to the upstreams so that they stop processing. */
 void call::abandon()
 {
--- a/src/call.hpp
+++ b/src/call.hpp
@@ -45,6 +45,7 @@
     void end_unanswered();
     void finish(call_end end, int status);
     void abandon();
+    void end_for_exit();
     [[nodiscard]] nanoseconds time_left() const { return deadline_ - boot_clock::now(); }
 
     call_context& context_;
--- a/src/call_context.hpp
+++ b/src/call_context.hpp
@@ -8,6 +8,7 @@
 #include "choice_probe_budget.hpp"
 #include "choice_yield.hpp"
 #include "cold_limit.hpp"
+#include "entry_leaving.hpp"
 #include "fleet_share.hpp"
 #include "quarantine.hpp"
 #include "random_type.hpp"
@@ -25,6 +26,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace sniperock {
@@ -67,6 +69,8 @@
     /** This VM has just started, and its configuration and registry may be older than those of the
      * others: it refuses all requests. */
     bool outdated = false;
+    /** Set once the VM shuts down. */
+    std::optional<leaving_times> leaving;
     std::map<std::string, retry_budget, std::less<>> budgets;
     local_time started = boot_clock::now();
 
--- a/src/call_type.hpp
+++ b/src/call_type.hpp
@@ -73,6 +73,10 @@
     expired,
     /** The caller closed the connection. */
     abandoned,
+    /** The VM exits before the request could be answered; it was not executed. */
+    leaving,
+    /** The VM exits before the answer was received; the request may have been executed. */
+    cut_off,
 };
 
 template <>
@@ -90,6 +94,8 @@
     enum_name<call_end>{call_end::timed_out, "timed-out"},
     enum_name<call_end>{call_end::expired, "expired"},
     enum_name<call_end>{call_end::abandoned, "abandoned"},
+    enum_name<call_end>{call_end::leaving, "leaving"},
+    enum_name<call_end>{call_end::cut_off, "cut-off"},
 };
 
 /** Whether a request may be repeated, or why not. A repeat is a retry or a hedge. */
@@ -128,6 +134,7 @@
         return http_status::not_found;
     case call_end::failed:
         return http_status::bad_gateway;
+    case call_end::cut_off:
     case call_end::timed_out:
         return http_status::gateway_timeout;
     default:
--- a/src/caller_exchange.hpp
+++ b/src/caller_exchange.hpp
@@ -51,6 +51,9 @@
     /** Sets a handler that is called once if the connection closes before the response is complete.
      */
     void on_abandoned(std::function<void()> handler) { on_abandoned_ = std::move(handler); }
+    /** Sets a handler that is called once if the process exits before the response is complete; it
+     * should respond. */
+    void on_exit(std::function<void()> handler) { on_exit_ = std::move(handler); }
 
     /** Sends a complete response. */
     void respond(const caller_response& response);
@@ -74,6 +77,7 @@
     std::shared_ptr<caller_session> session_;
     caller_request request_;
     std::function<void()> on_abandoned_;
+    std::function<void()> on_exit_;
     /** Response bytes not yet passed to the session. */
     std::string output_;
     bool chunked_ = false;
--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -101,6 +101,12 @@
     std::ranges::for_each(sessions_, [now](const auto& session) { session->close_if_idle(now); });
 }
 
+void caller_server::end_requests()
+{
+    // The handlers neither add sessions to the vector nor remove any.
+    std::ranges::for_each(sessions_, [](const auto& session) { session->end_requests(); });
+}
+
 void caller_server::close_all()
 {
     const auto all = std::exchange(sessions_, {});
--- a/src/caller_server.hpp
+++ b/src/caller_server.hpp
@@ -31,6 +31,8 @@
     void stop_accepting();
     /** Closes connections on which nothing is in progress. */
     void close_idle(local_time now);
+    /** Lets the handlers of all requests in progress respond at once, as the process exits. */
+    void end_requests();
     void close_all();
     /** Closes connections past their deadline and removes closed sessions. */
     void close_expired(local_time now);
--- a/src/caller_session.cpp
+++ b/src/caller_session.cpp
@@ -52,12 +52,24 @@
 {
     streaming_ = nullptr;
     for (const auto& exchange : std::exchange(exchanges_, {})) {
+        exchange->on_exit_ = nullptr;
         if (const auto handler = std::exchange(exchange->on_abandoned_, nullptr)) {
             handler();
         }
     }
 }
 
+void caller_session::end_requests()
+{
+    const auto self = shared_from_this();
+    const auto in_progress = exchanges_;
+    for (const auto& exchange : in_progress) {
+        if (const auto handler = std::exchange(exchange->on_exit_, nullptr)) {
+            handler();
+        }
+    }
+}
+
 void caller_session::close_if_expired(local_time now)
 {
     if (closed_ || !exchanges_.empty() || now <= deadline_) {
@@ -76,14 +88,17 @@
         return false;
     }
     const bool first_request_due = !had_request_ && now - accepted_at_ < first_request_time;
-    // A connection that lingers has delivered its last response once that is flushed.
-    const bool receiving = !lingering_ && (parser_.started() || !unparsed_.empty());
-    return !exchanges_.empty() || !stream_.flushed() || receiving || first_request_due;
+    const bool receiving = parser_.started() || !unparsed_.empty();
+    // A process that exits while input is unread resets the connection, and the caller may lose
+    // what it has not read yet.
+    return lingering_ || !exchanges_.empty() || !stream_.flushed() || receiving ||
+           first_request_due;
 }
 
 void caller_session::close_if_idle(local_time now)
 {
-    if (!lingering_ && !busy(now)) {
+    // A request that has arrived but is not read yet would be lost.
+    if (!busy(now) && !stream_.has_input()) {
         close();
     }
 }
@@ -136,7 +151,9 @@
     if (streaming_) {
         return !body_->full();
     }
-    return !no_more_requests_ && exchanges_.size() < max_pipelined_requests;
+    // While draining, the response to each request closes the connection.
+    const auto max_requests = shared_->draining ? 1 : max_pipelined_requests;
+    return !no_more_requests_ && exchanges_.size() < max_requests;
 }
 
 /** Parses input that was held back. */
@@ -464,6 +481,7 @@
     }
     complete_ = true;
     on_abandoned_ = nullptr;
+    on_exit_ = nullptr;
     notify_session();
 }
 
@@ -471,6 +489,7 @@
 {
     complete_ = true;
     on_abandoned_ = nullptr;
+    on_exit_ = nullptr;
     session_->close();
 }
 
--- a/src/caller_session.hpp
+++ b/src/caller_session.hpp
@@ -26,7 +26,8 @@
     std::size_t max_body_memory = 0;
     /** A request with a larger body is dispatched before the body is complete; 0 if none is. */
     std::size_t stream_threshold = 0;
-    /** Connections are closed after the response to their last request in progress. */
+    /** Connections are closed after the response to their last request in progress, and no further
+     * request is read before it. */
     bool draining = false;
     /** Header that carries a request id; echoed in responses that the VM generates itself. */
     std::string_view id_header;
@@ -58,9 +59,12 @@
     void close_if_expired(local_time now);
     /** Closes the connection if nothing is in progress on it. */
     void close_if_idle(local_time now);
+    /** Lets the handlers of the requests in progress respond at once, as the process exits. */
+    void end_requests();
     /** True once the connection is closed and its requests are abandoned. */
     [[nodiscard]] bool closed() const { return closed_ && exchanges_.empty(); }
-    /** True if a request or its response is incomplete, or the first request may be on its way. */
+    /** True if a request or its response is incomplete, the first request may be on its way, or the
+     * caller has not closed its side after the last response. */
     [[nodiscard]] bool busy(local_time now) const;
 
 private:
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -26,6 +26,8 @@
 
 /** Interval of the periodic work, such as closing connections whose deadline has passed. */
 constexpr milliseconds tick_period{100};
+/** The same while the VM shuts down, whose last phases are short. */
+constexpr milliseconds drain_tick_period{20};
 /** If a tick is delayed by more than this, the process is assumed to have been stalled. */
 constexpr milliseconds max_tick_delay{1000};
 /** Interval at which the settings file is read again, so that a change needs no signal. */
@@ -341,7 +343,8 @@
             io.stop();
             return;
         }
-        tick_timer.expires_after(tick_period);
+        const bool leaving = members.self().state == member_state::leaving;
+        tick_timer.expires_after(leaving ? drain_tick_period : tick_period);
         tick_timer.async_wait([this](const asio::error_code& error) {
             if (!error) {
                 tick();
@@ -411,6 +414,7 @@
         }
         members.set_state(member_state::leaving);
         drain_start = boot_clock::now();
+        calls.leaving = leaving_times_of(drain_start, settings.stop_grace);
         callers.shared().draining = true;
         callers.close_idle(drain_start);
         relay_server.shared().draining = true;
@@ -432,11 +436,17 @@
         callers.stop_accepting();
         relay_server.stop_accepting();
         const auto busy = callers.busy(now) + relay_server.busy(now);
-        if (drain_phase_at(elapsed, settings.stop_grace, busy) == drain_phase::finishing) {
+        switch (drain_phase_at(elapsed, settings.stop_grace, busy)) {
+        case drain_phase::done:
+            log_event(event::entry_stopped, {{"cut_off", std::to_string(busy)}});
+            return true;
+        case drain_phase::ending:
+            callers.end_requests();
+            relay_server.end_requests();
+            return false;
+        default:
             return false;
         }
-        log_event(event::entry_stopped, {{"cut_off", std::to_string(busy)}});
-        return true;
     }
 
     // Pages.
--- a/src/explain.cpp
+++ b/src/explain.cpp
@@ -26,7 +26,7 @@
 /** Describes the outcome of a call. */
 std::string outcome_text(std::string_view end)
 {
-    static constexpr std::array<std::pair<std::string_view, std::string_view>, 13> table{{
+    static constexpr std::array<std::pair<std::string_view, std::string_view>, 15> table{{
         {"answered", "the answer of an upstream was forwarded"},
         {"no-route", "no route of the configuration in force matches"},
         {"no-configuration", "this VM had just started and had no current configuration yet"},
@@ -40,6 +40,8 @@
         {"timed-out", "it may have run, and the time limit passed"},
         {"expired", "the deadline passed before it was sent"},
         {"abandoned", "the caller closed its connection"},
+        {"leaving", "this VM was shutting down and could not be sure to answer before its exit"},
+        {"cut-off", "it may have run, and this VM exited before an answer was received"},
     }};
     return look_up(table, end);
 }
