Fix: Settings accept bounds with a fraction, and times in seconds

Cause: these settings were whole numbers, and the deploy template wrote three zeros behind seconds, which makes 2.5000 of 2.5.

Change: numbers are whole, decimal or have an exponent; times may name ms or s; an optional number or time that is empty keeps its default; slack and probe rate keep their fraction. `sniperock settings` keeps its columns apart.

--- a/src/call_context.hpp
+++ b/src/call_context.hpp
@@ -77,7 +77,7 @@
     /** Budget for repeats (retries and hedges) of requests to a service. */
     retry_budget& retry_budget_of(const std::string& service)
     {
-        const retry_bounds bounds{settings.retry_ratio, static_cast<double>(settings.retry_slack),
+        const retry_bounds bounds{settings.retry_ratio, settings.retry_slack,
                                   settings.retry_window};
         return budgets.try_emplace(service, bounds, started).first->second;
     }
--- a/src/call_picker.cpp
+++ b/src/call_picker.cpp
@@ -179,9 +179,9 @@
     /** Charges a probe to this VM's share of the fleet's budget. @return false if none is left. */
     bool may_probe(local_time now)
     {
-        return context_.probes.spend({static_cast<double>(context_.settings.probe_rate),
-                                      context_.registry.size(), context_.fleet.members.size()},
-                                     now);
+        return context_.probes.spend(
+            {context_.settings.probe_rate, context_.registry.size(), context_.fleet.members.size()},
+            now);
     }
 
     [[nodiscard]] bool has_ideal(const std::vector<candidate>& sample) const
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstring>
 #include <fstream>
 #include <iomanip>
@@ -33,29 +34,65 @@
     return std::to_string(row.min) + " to " + std::to_string(row.max) + " " + unit;
 }
 
-std::optional<std::int64_t> parse_integer(std::string_view text)
+/** Parses a number: whole, decimal, or with an exponent. */
+std::optional<double> parse_number(std::string_view text)
 {
-    std::int64_t value = 0;
+    double value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc{} || end != text.data() + text.size()) {
+    if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value)) {
         return std::nullopt;
     }
     return value;
 }
 
-/** Assigns a floating-point value. @return the error message if the text is invalid. */
-std::optional<std::string> assign_real(double& target, const setting_descriptor& row,
-                                       std::string_view text)
+/** Units of time that may follow the number of a setting in ms. */
+constexpr std::array<std::pair<std::string_view, double>, 2> time_units{{{"ms", 1}, {"s", 1000}}};
+
+/** Removes a unit of time from the end of a text. @return the unit's milliseconds; 1 if none. */
+double take_time_unit(std::string_view& text)
 {
-    double value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc{} || end != text.data() + text.size()) {
-        return "\"" + std::string{text} + "\" is not a number; allowed are " + range_text(row);
+    const auto unit = std::ranges::find_if(
+        time_units, [&](const auto& item) { return text.ends_with(item.first); });
+    if (unit == time_units.end()) {
+        return 1;
     }
+    text.remove_suffix(unit->first.size());
+    text = text.substr(0, text.find_last_not_of(' ') + 1);
+    return unit->second;
+}
+
+/** Assigns a number or a time. @return the error message if the text is invalid. */
+std::optional<std::string> assign_number(entry_settings& settings, const setting_descriptor& row,
+                                         std::string_view text)
+{
+    const auto* const time = std::get_if<milliseconds entry_settings::*>(&row.target);
+    auto digits = text;
+    const double unit = time == nullptr ? 1 : take_time_unit(digits);
+    if (digits.empty() && row.flag == setting_flag::optional) {
+        // What fills the file in may have no value; the default holds.
+        return std::nullopt;
+    }
+    const auto* const whole = std::get_if<std::int64_t entry_settings::*>(&row.target);
+    const auto number = parse_number(digits);
+    if (!number || (whole != nullptr && std::trunc(*number) != *number)) {
+        return "\"" + std::string{text} + "\" is not a " + (whole != nullptr ? "whole " : "") +
+               "number; allowed are " + range_text(row);
+    }
+    const double value = *number * unit;
     if (!(value >= static_cast<double>(row.min) && value <= static_cast<double>(row.max))) {
         return std::string{text} + " is out of range; allowed are " + range_text(row);
     }
-    target = value;
+    if (whole != nullptr) {
+        settings.*(*whole) = static_cast<std::int64_t>(value);
+    }
+    else if (time != nullptr) {
+        // Decimal fractions such as 2.3 are not exact.
+        constexpr double rounding_error = 1e-6;
+        settings.*(*time) = milliseconds{static_cast<std::int64_t>(value + rounding_error)};
+    }
+    else {
+        settings.*std::get<double entry_settings::*>(row.target) = value;
+    }
     return std::nullopt;
 }
 
@@ -74,24 +111,7 @@
         settings.*(*member) = std::string{text};
         return std::nullopt;
     }
-    if (const auto* real = std::get_if<double entry_settings::*>(&row.target)) {
-        return assign_real(settings.*(*real), row, text);
-    }
-    const auto value = parse_integer(text);
-    if (!value) {
-        return "\"" + std::string{text} + "\" is not a whole number; allowed are " +
-               range_text(row);
-    }
-    if (*value < row.min || *value > row.max) {
-        return std::string{text} + " is out of range; allowed are " + range_text(row);
-    }
-    if (const auto* number = std::get_if<std::int64_t entry_settings::*>(&row.target)) {
-        settings.*(*number) = *value;
-    }
-    else {
-        settings.*std::get<milliseconds entry_settings::*>(row.target) = milliseconds{*value};
-    }
-    return std::nullopt;
+    return assign_number(settings, row, text);
 }
 
 /** State of one parse, passed through the callbacks of the INI library. */
@@ -220,9 +240,10 @@
     for (const auto& row : settings_table) {
         const std::string shown_default =
             row.flag == setting_flag::required ? "required" : std::string{row.default_text};
-        text << std::left << std::setw(30) << full_name(row) << std::setw(12) << row.unit
-             << std::setw(14) << shown_default << std::setw(34) << range_text(row) << row.help
-             << "\n";
+        // Two blanks at least, however long a value is.
+        text << std::left << std::setw(28) << full_name(row) << "  " << std::setw(14) << row.unit
+             << "  " << std::setw(14) << shown_default << "  " << std::setw(34) << range_text(row)
+             << "  " << row.help << "\n";
     }
     return text.str();
 }
--- a/src/settings_type.hpp
+++ b/src/settings_type.hpp
@@ -41,11 +41,11 @@
     std::int64_t subset{};
     milliseconds probe_timeout{};
     milliseconds probe_fresh{};
-    std::int64_t probe_rate{};
+    double probe_rate{};
     double wait_share{};
     double search_share{};
     double retry_ratio{};
-    std::int64_t retry_slack{};
+    double retry_slack{};
     milliseconds retry_window{};
     std::int64_t quarantine_crashes{};
     milliseconds quarantine_time{};
--- a/src/tests/settings_test.cpp
+++ b/src/tests/settings_test.cpp
@@ -55,6 +55,48 @@
     CHECK(format_settings(again) == format_settings(settings));
 }
 
+// Guards against a process that does not start as a bound of the platform has a fraction.
+TEST_CASE("numbers are whole, decimal or have an exponent, and times may name their unit")
+{
+    const auto parse = [](const std::string& lines) {
+        return parse_settings("[vm]\nname = a\nfailure_domain = north\n" + lines, "test.ini");
+    };
+    CHECK(parse("[retries]\nslack = 21.875\n").retry_slack == 21.875);
+    CHECK(parse("[retries]\nslack = 5.6e1\n").retry_slack == 56);
+    CHECK(parse("[choice]\nprobe_rate = 0.5e2\n").probe_rate == 50);
+    CHECK(parse("[choice]\nprobes = 5.0\n").probe_count == 5);
+    CHECK(parse("[retries]\nwindow = 2.5 s\n").retry_window == milliseconds{2500});
+    CHECK(parse("[retries]\nwindow = 2.3 s\n").retry_window == milliseconds{2300});
+    CHECK(parse("[retries]\nwindow = 1e1 s\n").retry_window == milliseconds{10'000});
+    CHECK(parse("[retries]\nwindow = 2500.75\n").retry_window == milliseconds{2500});
+    CHECK(parse("[retries]\nwindow = 250ms\n").retry_window == milliseconds{250});
+    const std::string head = "[vm]\nname = a\nfailure_domain = north\n";
+    for (const auto* line :
+         {"[choice]\nprobes = 5.5\n", "[retries]\nslack = 1e999\n", "[retries]\nslack = nan\n",
+          "[retries]\nslack = 5 s\n", "[retries]\nwindow = 5 m\n", "[retries]\nwindow = -1 s\n"}) {
+        CAPTURE(line);
+        CHECK(findings_of(head + line).size() == 1);
+    }
+}
+
+TEST_CASE("a number that is left empty has its default, an address is needed")
+{
+    const std::string head = "[vm]\nname = a\nfailure_domain = north\n";
+    const auto settings =
+        parse_settings(head + "[retries]\nslack =\nwindow =  s\nratio =\n", "test.ini");
+    CHECK(settings.retry_slack == 20);
+    CHECK(settings.retry_window == milliseconds{10'000});
+    CHECK(settings.retry_ratio == 0.2);
+    CHECK(findings_of(head + "[store]\naddress =\n").size() == 1);
+}
+
+TEST_CASE("the columns of the list of settings are separate")
+{
+    const auto text = list_settings();
+    CHECK(text.find("127.0.0.1:7000  ") != std::string::npos);
+    CHECK(text.find("1.0:70001") == std::string::npos);
+}
+
 TEST_CASE("an address needs an IP and a port")
 {
     const std::string head = "[vm]\nname = a\nfailure_domain = north\n[store]\naddress = ";
