Fix: A VM waits for ports that its predecessor still uses, with its signal handlers set

A SIGTERM between the opening of the ports and that of the handlers cut off what the ports had accepted.

Cause: a failed bind was final, and the handlers were set after the ports were open.

Change: handlers first; then each port is tried every 100 ms while another process uses it, for the grace period and 10 s; SR112 says so once. A stop in this time ends the start.

--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -31,8 +31,10 @@
         port_ = acceptor_.local_endpoint().port();
     }
     catch (const std::system_error& error) {
+        asio::error_code ignored;
+        acceptor_.close(ignored);
         throw listen_failed(endpoint.address().to_string() + ":" + std::to_string(endpoint.port()),
-                            error.code().message());
+                            error.code());
     }
     accept_next();
 }
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -7,6 +7,7 @@
 #include "entry_leaving.hpp"
 #include "entry_settings_func.hpp"
 #include "entry_start.hpp"
+#include "error_type.hpp"
 #include "event_type.hpp"
 #include "member_gossip.hpp"
 #include "request_identity.hpp"
@@ -19,7 +20,7 @@
 
 #include <algorithm>
 #include <csignal>
-#include <fstream>
+#include <thread>
 
 namespace sniperock {
 namespace {
@@ -30,6 +31,8 @@
 constexpr milliseconds drain_tick_period{20};
 /** If a tick is delayed by more than this, the process is assumed to have been stalled. */
 constexpr milliseconds max_tick_delay{1000};
+/** Time in addition to the grace period for which a VM that starts waits for its ports. */
+constexpr milliseconds max_port_wait{10'000};
 /** Interval at which the settings file is read again, so that a change needs no signal. */
 constexpr milliseconds reload_period{1000};
 /** Time after the start until a VM knows enough of the fleet to compute its shares of the limits
@@ -167,26 +170,19 @@
 
     void start()
     {
-        const auto address = endpoint_of(settings.callers_listen).address();
-        callers.listen(endpoint_of(settings.callers_listen));
-        members.set_callers_port(callers.port());
-        if (settings.peer_port > 0) {
-            const auto port = static_cast<std::uint16_t>(settings.peer_port);
-            relay_server.listen({address, port});
-            relays.set_port(port);
+        // A signal that comes before its handler ends the process.
+        signals.add(SIGTERM);
+        signals.add(SIGINT);
+        signals.add(SIGHUP);
+        await_signal();
+        if (!open_ports()) {
+            io.stop();
+            return;
         }
-        ready_page.listen(endpoint_of(settings.ready_listen));
-        directory_page.listen(endpoint_of(settings.directory_listen));
-        metrics_page.listen({address, static_cast<std::uint16_t>(settings.metrics_port)});
-        gossip.open(address.to_string(), static_cast<std::uint16_t>(settings.peer_port));
         gossip.set_seeds(seed_addresses(settings));
         start_task(io.get_executor(), gossip.send_heartbeats());
         start_task(io.get_executor(), gossip.receive_heartbeats());
         sync.start();
-        signals.add(SIGTERM);
-        signals.add(SIGINT);
-        signals.add(SIGHUP);
-        await_signal();
         last_tick = boot_clock::now();
         next_reload = last_tick + reload_period;
         tick();
@@ -195,6 +191,61 @@
                                          {"callers_port", std::to_string(callers.port())}});
     }
 
+    /** Opens the ports. One may still be used by the previous process on this address, which is
+     * completing its requests: the VM waits until it has exited.
+     * @return false if the VM was stopped meanwhile. @throws listen_failed */
+    bool open_ports()
+    {
+        const auto address = endpoint_of(settings.callers_listen).address();
+        const auto peer_port = static_cast<std::uint16_t>(settings.peer_port);
+        const std::vector<std::function<void()>> ports{
+            [&] { callers.listen(endpoint_of(settings.callers_listen)); },
+            [&] {
+                if (peer_port > 0) {
+                    relay_server.listen({address, peer_port});
+                }
+            },
+            [&] { ready_page.listen(endpoint_of(settings.ready_listen)); },
+            [&] { directory_page.listen(endpoint_of(settings.directory_listen)); },
+            [&] {
+                metrics_page.listen({address, static_cast<std::uint16_t>(settings.metrics_port)});
+            },
+            [&] { gossip.open(address.to_string(), peer_port); }};
+        const auto give_up_at = boot_clock::now() + settings.stop_grace + max_port_wait;
+        for (const auto& open : ports) {
+            if (!open_port(open, give_up_at)) {
+                return false;
+            }
+        }
+        members.set_callers_port(callers.port());
+        relays.set_port(peer_port);
+        return true;
+    }
+
+    /** Opens a port, again and again until @p give_up_at. See open_ports(). */
+    bool open_port(const std::function<void()>& open, local_time give_up_at)
+    {
+        for (bool logged = false;;) {
+            try {
+                open();
+                return true;
+            }
+            catch (const listen_failed& fault) {
+                if (!fault.in_use() || boot_clock::now() >= give_up_at) {
+                    throw;
+                }
+                if (!std::exchange(logged, true)) {
+                    log_event(event::port_in_use, {{"reason", fault.what()}});
+                }
+            }
+            std::this_thread::sleep_for(tick_period);
+            io.poll();
+            if (members.self().state == member_state::leaving) {
+                return false;
+            }
+        }
+    }
+
     void await_signal()
     {
         signals.async_wait([this](const asio::error_code& error, int number) {
--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -21,6 +21,7 @@
     entry_outdated = 106,
     entry_current = 107,
     log_lines_dropped = 110,
+    port_in_use = 112,
     accept_failed = 120,
     connection_refused = 121,
     // 2xx: calls.
--- a/src/member_gossip.cpp
+++ b/src/member_gossip.cpp
@@ -309,7 +309,9 @@
         port_ = socket_.local_endpoint().port();
     }
     catch (const std::system_error& fault) {
-        throw listen_failed(address + ":" + std::to_string(port) + "/udp", fault.code().message());
+        asio::error_code ignored;
+        socket_.close(ignored);
+        throw listen_failed(address + ":" + std::to_string(port) + "/udp", fault.code());
     }
 }
 
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -40,6 +40,9 @@
                      "configuration is lower than reported, nobody wrote the newer one again."},
     event_descriptor{event::log_lines_dropped, event_level::warning, "process", "log_lines_dropped",
                      "lines", "Lines were dropped because of the buffer limit or the rate limit."},
+    event_descriptor{event::port_in_use, event_level::warning, "process", "port_in_use", "reason",
+                     "The VM starts while another process uses one of its ports, such as its "
+                     "predecessor that completes requests; it waits until the port is free."},
     event_descriptor{event::accept_failed, event_level::warning, "calls", "accept_failed",
                      "port reason",
                      "A connection could not be accepted and accepting is retried shortly; the "
