Fix: A process that starts outlives SIGHUP and a settings file that is being written

Cause: SIGHUP has its default action until the node handles it, and the file was read once.

Change: the signal is ignored from the first line of the command; an invalid file is read again for a second.

--- a/src/cli_commands.cpp
+++ b/src/cli_commands.cpp
@@ -7,13 +7,35 @@
 #include "platform_schema.hpp"
 #include "settings_func.hpp"
 
+#include <csignal>
 #include <iostream>
+#include <thread>
 
 namespace sniperock {
 namespace {
 
 namespace po = boost::program_options;
 
+/** Reads the settings of a process that starts. A file that is invalid may be about to be written.
+ * @throws invalid_input if it stays invalid. */
+entry_settings load_settings_at_start(const std::string& path)
+{
+    constexpr milliseconds write_time{1000};
+    constexpr milliseconds poll_interval{20};
+    const auto give_up_at = boot_clock::now() + write_time;
+    for (;;) {
+        try {
+            return load_settings(path);
+        }
+        catch (const invalid_input& fault) {
+            if (boot_clock::now() >= give_up_at) {
+                throw;
+            }
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+}
+
 int run_entry(const arguments& args)
 {
     po::options_description options("sniperock entry --settings FILE");
@@ -22,8 +44,10 @@
     if (!values) {
         return exit_code::success;
     }
+    // Until the node handles it, this signal would end the process.
+    std::signal(SIGHUP, SIG_IGN);
     const auto path = (*values)["settings"].as<std::string>();
-    auto settings = load_settings(path);
+    auto settings = load_settings_at_start(path);
     set_up_log({settings.vm_name, static_cast<std::size_t>(settings.log_buffer),
                 static_cast<std::size_t>(settings.log_rate)});
     {
