--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -48,9 +48,19 @@
 /** Units of time that may follow the number of a setting in ms. */
 constexpr std::array<std::pair<std::string_view, double>, 2> time_units{{{"ms", 1}, {"s", 1000}}};
 
-/** Removes a unit of time from the end of a text. @return the unit's milliseconds; 1 if none. */
+/** Removes a unit of time from the end of a text. Templates that can only append text make ms of
+ * whole seconds by three zeros; behind a fraction, as in 2.5000, these stand for the unit as well.
+ * @return the unit's milliseconds; 1 if there is none. */
 double take_time_unit(std::string_view& text)
 {
+    constexpr std::string_view appended_zeros = "000";
+    constexpr double ms_per_s = 1000;
+    const auto point = text.find('.');
+    if (point != std::string_view::npos && text.ends_with(appended_zeros) &&
+        text.size() - point > appended_zeros.size() + 1) {
+        text.remove_suffix(appended_zeros.size());
+        return ms_per_s;
+    }
     const auto unit = std::ranges::find_if(
         time_units, [&](const auto& item) { return text.ends_with(item.first); });
     if (unit == time_units.end()) {
--- a/src/tests/settings_test.cpp
+++ b/src/tests/settings_test.cpp
@@ -69,6 +69,11 @@
     CHECK(parse("[retries]\nwindow = 2.3 s\n").retry_window == milliseconds{2300});
     CHECK(parse("[retries]\nwindow = 1e1 s\n").retry_window == milliseconds{10'000});
     CHECK(parse("[retries]\nwindow = 2500.75\n").retry_window == milliseconds{2500});
+    CHECK(parse("[retries]\nwindow = 2500.0\n").retry_window == milliseconds{2500});
+    // Three zeros that a template has appended to 2.5, to 10 and to 10.0 seconds.
+    CHECK(parse("[retries]\nwindow = 2.5000\n").retry_window == milliseconds{2500});
+    CHECK(parse("[retries]\nwindow = 10000\n").retry_window == milliseconds{10'000});
+    CHECK(parse("[retries]\nwindow = 10.0000\n").retry_window == milliseconds{10'000});
     CHECK(parse("[retries]\nwindow = 250ms\n").retry_window == milliseconds{250});
     const std::string head = "[vm]\nname = a\nfailure_domain = north\n";
     for (const auto* line :
