Fix: A flushed answer does not prolong the time for a head that has begun to arrive

Cause: set the idle time at each flush, also while the head of the next request was arriving, whose shorter limit was then lost. Found on reading the change; no run has shown it. Change: only while no request has begun. Evidence: test_calls passes; no test of its own.

--- a/src/caller_session.cpp
+++ b/src/caller_session.cpp
@@ -413,11 +413,14 @@
 {
     stream_.release_memory();
     const auto now = boot_clock::now();
-    deadline_ = std::max(deadline_, now + shared_->limits.idle_timeout);
     if (lingering_) {
         deadline_ = now + linger_timeout;
         stream_.shutdown_send();
     }
+    else if (!parser_.started()) {
+        // The time for a head that has begun to arrive goes on.
+        deadline_ = now + shared_->limits.idle_timeout;
+    }
 }
 
 caller_exchange::caller_exchange(std::shared_ptr<caller_session> session, caller_request request)
