Fix: An answer without an id decides nothing on a connection that is in use again

Cause: a health answer names no request. A late copy of one, on the probe's connection that the request took over, passed read_head, which skipped answers of another id only, and classify_head believed its status: a rejection let the booking be sent again or be refused as not run, a 421 removed the upstream, a 500 was passed on. Ruled out: the retry rules (they were told "not run") and the upstreams, which echo the id in what answers a request.

Change: from a connection's second request on, only an answer that names the request decides; another is skipped, and the one behind it counts. A request that has no id itself gets a connection of its own, and a rejection by this VM of a request whose head was read names it.

--- a/src/call_attempt.cpp
+++ b/src/call_attempt.cpp
@@ -63,11 +63,15 @@
 
 /**
  * Takes an idle connection. A request that cannot be repeated is sent only on a connection that has
- * just carried an answer: others may have failed without notice.
+ * just carried an answer: others may have failed without notice. One without an id needs a new
+ * connection, as its answer cannot be told from a late copy of an earlier one.
  */
 void call_attempt::take_idle_connection()
 {
     const auto now = boot_clock::now();
+    if (params_.id.empty()) {
+        return;
+    }
     connection_ = context_.pool.take_idle(*picked_.target, now);
     const bool safe = is_repeatable(params_.matched_route->kind) ||
                       (connection_ && connection_->used_within(now, proven_max_age));
@@ -80,6 +84,10 @@
 /** Connects if necessary, sends the request and reads the answer. */
 task<attempt_end> call_attempt::exchange_messages()
 {
+    if (connection_ && params_.id.empty()) {
+        context_.pool.put_back(*picked_.target, std::exchange(connection_, nullptr),
+                               boot_clock::now());
+    }
     if (!connection_) {
         take_idle_connection();
     }
--- a/src/caller_session.cpp
+++ b/src/caller_session.cpp
@@ -318,7 +318,12 @@
 void caller_session::reject(int status)
 {
     no_more_requests_ = true;
-    const auto exchange = std::make_shared<caller_exchange>(shared_from_this(), caller_request{});
+    caller_request request;
+    if (parser_.head_complete()) {
+        // The response names the request; another VM would not take it for an answer otherwise.
+        request.head = parser_.head();
+    }
+    const auto exchange = std::make_shared<caller_exchange>(shared_from_this(), std::move(request));
     exchange->closes_connection_ = true;
     exchanges_.push_back(exchange);
     caller_response response{status, {}, {}};
--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -46,6 +46,7 @@
 void http_connection::send(std::string_view bytes, bool head_request)
 {
     head_request_ = head_request;
+    ++request_count_;
     reset_parser();
     received_ = 0;
     asio::error_code error;
@@ -124,9 +125,8 @@
         if (!parser_.head_complete()) {
             continue;
         }
-        const auto echoed = head().headers.find(attempt_header);
-        const bool is_other_attempt = echoed && !attempt_id.empty() && *echoed != attempt_id;
-        if (!is_other_attempt && head().status >= http_status::first_final) {
+        const bool is_final = head().status >= http_status::first_final;
+        if (is_final && !may_be_late_copy(attempt_header, attempt_id)) {
             response_complete_ = parser_.message_complete();
             co_return response_complete_ ? read_progress::complete : read_progress::incomplete;
         }
@@ -139,6 +139,20 @@
     co_return read_progress::broken;
 }
 
+/** True if the response may be a copy of the one to an earlier request on this connection, such as
+ * a health probe, which has no id. Its status then says nothing about the last request. */
+bool http_connection::may_be_late_copy(std::string_view attempt_header, std::string_view attempt_id)
+{
+    if (attempt_header.empty()) {
+        return false;
+    }
+    const auto echoed = head().headers.find(attempt_header).value_or("");
+    if (attempt_id.empty()) {
+        return !echoed.empty();
+    }
+    return echoed.empty() ? request_count_ > 1 : echoed != attempt_id;
+}
+
 /** Discards the body of an interim response or of a response to an earlier request. */
 task<read_progress> http_connection::skip_body()
 {
--- a/src/http_connection.hpp
+++ b/src/http_connection.hpp
@@ -40,9 +40,12 @@
     [[nodiscard]] bool flushed() const { return stream_.flushed(); }
     /**
      * Reads up to the end of the head of the final response to the last request.
-     * @param attempt_header response header that echoes the request's attempt id.
-     * @param attempt_id id sent with the request; a response with another id is skipped. If empty,
-     * any response is accepted.
+     * @param attempt_header response header that echoes the request's attempt id. If empty, any
+     * response is accepted.
+     * @param attempt_id id sent with the request. Responses that may be late copies of the one to
+     * an earlier request are skipped: those with another id, and those without an id unless this
+     * is the connection's first request. If empty, the request has no id, and responses that have
+     * one are skipped.
      * @return broken also if the size limit for bytes before the body is exceeded.
      */
     task<read_progress> read_head(std::string_view attempt_header, std::string_view attempt_id);
@@ -82,6 +85,8 @@
 private:
     task<bool> receive();
     task<read_progress> skip_body();
+    [[nodiscard]] bool may_be_late_copy(std::string_view attempt_header,
+                                        std::string_view attempt_id);
     void reset_parser();
     void flush();
 
@@ -97,6 +102,7 @@
     bool peer_closed_ = false;
     bool lost_ = false;
     bool refused_ = false;
+    unsigned request_count_ = 0;
     unsigned response_count_ = 0;
     local_time last_response_at_;
     local_time idle_deadline_;
--- a/src/upstream_probe.cpp
+++ b/src/upstream_probe.cpp
@@ -97,7 +97,7 @@
     request += "\r\n";
     const auto sent_at = boot_clock::now();
     connection->send(request, false);
-    auto progress = co_await connection->read_head(dialect_.attempt_id, "-");
+    auto progress = co_await connection->read_head(dialect_.attempt_id, "");
     std::string body;
     while (progress == read_progress::incomplete && connection->received() <= max_health_answer) {
         body.clear();
