Fix: A large answer that cannot be completed no longer ends other answers of its connection

Cause: stream_answer closed the caller's connection at its deadline, or when the upstream broke the answer off, although answers to earlier requests were due there and nothing of its own was written. The reviewer's guess holds; what earlier answers had unsent was lost as well. Ruled out: the timeout of the booking, which had not passed, and callers' limits. Other closes were read: those on a reset, a write error and an expired idle time have no answer that could still be read; refused heads and bodies were answered in turn already.

Change: nothing written yet: 504 or 502 in its place, and the connection lives. A part written: what came before and the part are sent, then the connection is closed; requests behind it are abandoned. SR205 logs each.

--- a/src/call.cpp
+++ b/src/call.cpp
@@ -210,7 +210,8 @@
     ++sends_;
     const auto attempt = std::make_shared<call_attempt>(
         context_,
-        attempt_params{exchange_, route_, service_, id_, fingerprint_, deadline_, by, sends_left},
+        attempt_params{exchange_, route_, service_, id_, fingerprint_, deadline_, by, sends_left,
+                       origin_, sends_},
         std::move(picked));
     attempts_.push_back(attempt);
     start_task(context_.io.get_executor(), call_attempt::run(attempt, changed_));
@@ -447,8 +448,7 @@
         answer.headers.add("Retry-After", format_retry_after(delay));
     }
     if (origin_ == call_origin::relay) {
-        answer.headers.add(std::string{relay_own_header}, "1");
-        answer.headers.add(std::string{relay_sends_header}, std::to_string(sends_));
+        add_own_relay_headers(answer.headers, sends_);
     }
     exchange_->respond(answer);
     finish(end, answer.status);
--- a/src/call_attempt.cpp
+++ b/src/call_attempt.cpp
@@ -1,6 +1,7 @@
 /** @file call_attempt.cpp One attempt to execute a request on one upstream. */
 #include "call_attempt.hpp"
 
+#include "call_log.hpp"
 #include "event_type.hpp"
 #include "http_write.hpp"
 #include "upstream_health.hpp"
@@ -342,11 +343,27 @@
         exchange->finish();
     }
     else if (!exchange->abandoned()) {
-        exchange->abort_connection();
+        end_stream(boot_clock::now() < params_.deadline ? call_end::failed : call_end::timed_out);
     }
     co_return attempt_end::streamed;
 }
 
+/** Ends a streamed answer that is incomplete. While answers to earlier requests of the connection
+ * are due, nothing of it has been written, and it is replaced; otherwise it is cut off. */
+void call_attempt::end_stream(call_end reason)
+{
+    caller_response answer{status_of(reason), {}, {}};
+    if (params_.origin == call_origin::relay) {
+        add_own_relay_headers(answer.headers, params_.sends);
+    }
+    const bool replaced = params_.exchange->replace(answer);
+    if (!replaced) {
+        params_.exchange->truncate();
+    }
+    log_incomplete_answer(params_.id, params_.service, picked_.target->entry.id, reason,
+                          replaced ? answer.status : 0);
+}
+
 /** Tells apart requests that were answered and those that may have ended their upstream. */
 void call_attempt::record_run(attempt_end end, local_time now)
 {
--- a/src/call_attempt.hpp
+++ b/src/call_attempt.hpp
@@ -29,6 +29,10 @@
     attempt_route by = attempt_route::upstream;
     /** Upstreams that another VM may send the request to. */
     int sends_left = 1;
+    /** Where the request comes from. */
+    call_origin origin = call_origin::caller;
+    /** Upstreams that the request was sent to, including this one. */
+    int sends = 1;
 };
 
 /**
@@ -74,6 +78,7 @@
     void send_piece(std::string_view piece);
     task<> skip_unused_body(read_progress progress);
     task<attempt_end> stream_answer();
+    void end_stream(call_end reason);
     attempt_end classify_head();
     std::optional<attempt_end> classify_relay(http_head& head);
     [[nodiscard]] bool relayed() const { return params_.by == attempt_route::relay; }
--- a/src/call_log.cpp
+++ b/src/call_log.cpp
@@ -98,6 +98,16 @@
                {"report_age_ms", basis.report_age ? ms_text(*basis.report_age) : ""}});
 }
 
+void log_incomplete_answer(const std::string& id, const std::string& service,
+                           const std::string& upstream, call_end reason, int status)
+{
+    log_event(event::answer_incomplete, {{"id", id},
+                                         {"service", service},
+                                         {"upstream", upstream},
+                                         {"reason", std::string{to_name(reason)}},
+                                         {"status", std::to_string(status)}});
+}
+
 void log_failed_attempt(const std::string& id, request_fingerprint fingerprint,
                         const std::string& service, const call_attempt& attempt)
 {
--- a/src/call_log.hpp
+++ b/src/call_log.hpp
@@ -51,4 +51,11 @@
 void log_hedge(const std::string& id, const std::string& service, const std::string& first,
                nanoseconds waited, const call_attempt& second);
 
+/**
+ * Logs that a large answer could not be completed.
+ * @param status sent to the caller in its place; 0 if a part of it was sent.
+ */
+void log_incomplete_answer(const std::string& id, const std::string& service,
+                           const std::string& upstream, call_end reason, int status);
+
 } // namespace sniperock
--- a/src/call_relay.hpp
+++ b/src/call_relay.hpp
@@ -1,6 +1,7 @@
 /** @file call_relay.hpp Selects the VM that sends a request on for a VM that cannot. */
 #pragma once
 
+#include "http_type.hpp"
 #include "member_reach.hpp"
 #include "member_table.hpp"
 #include "random_type.hpp"
@@ -22,6 +23,14 @@
 /** Header of its answer: the answer is the other VM's own, not that of an upstream. */
 inline constexpr std::string_view relay_own_header = "X-Relay-Own";
 
+/** Marks the answer to a relayed request as this VM's own. @param sends upstreams that the request
+ * was sent to. */
+inline void add_own_relay_headers(http_headers& headers, int sends)
+{
+    headers.add(std::string{relay_own_header}, "1");
+    headers.add(std::string{relay_sends_header}, std::to_string(sends));
+}
+
 /**
  * The other VMs, as far as they can send requests on. Each is treated like an upstream: with kept
  * connections, and a backoff while it does not answer.
--- a/src/caller_exchange.hpp
+++ b/src/caller_exchange.hpp
@@ -63,7 +63,14 @@
     void append(std::string_view piece);
     /** Ends the body. */
     void finish();
-    /** Closes the connection, so that the caller does not take the response for complete. */
+    /** Sends another response instead of one that cannot be completed.
+     * @return false if a part of it has been written to the connection, or all of it is ready. */
+    bool replace(const caller_response& response);
+    /** Ends a response that cannot be completed, a part of which has been written. The responses
+     * before it and that part are sent; then the connection is closed, so that the caller does not
+     * take the response for complete. */
+    void truncate();
+    /** Closes the connection at once, with all that is unsent. */
     void abort_connection();
     /** True if output waits for the caller to read it; the producer should pause. */
     [[nodiscard]] bool backlogged() const;
@@ -82,6 +89,10 @@
     std::string output_;
     bool chunked_ = false;
     bool head_written_ = false;
+    /** The session has taken a part of the response. */
+    bool output_taken_ = false;
+    /** The response ends before its end. */
+    bool truncated_ = false;
     bool complete_ = false;
     bool abandoned_ = false;
     /** The connection is closed after this response. */
--- a/src/caller_session.cpp
+++ b/src/caller_session.cpp
@@ -340,11 +340,16 @@
     while (!closed_ && !exchanges_.empty()) {
         const auto exchange = exchanges_.front();
         if (!exchange->output_.empty()) {
+            exchange->output_taken_ = true;
             write(std::exchange(exchange->output_, {}));
         }
         if (closed_ || !exchange->complete_) {
             return;
         }
+        if (exchange->truncated_) {
+            end_truncated();
+            return;
+        }
         exchanges_.pop_front();
         deadline_ = boot_clock::now() + shared_->limits.idle_timeout;
         if (exchange->closes_connection_) {
@@ -355,6 +360,17 @@
     resume_parsing();
 }
 
+/** Closes the connection behind a response that is incomplete. Requests behind it get none. */
+void caller_session::end_truncated()
+{
+    for (const auto& exchange : exchanges_) {
+        exchange->abandoned_ = true;
+    }
+    asio::post(stream_.socket().get_executor(),
+               [self = shared_from_this()] { self->abandon_requests(); });
+    begin_linger();
+}
+
 /** Shuts down the sending side after the last response and waits for the caller to close. */
 void caller_session::begin_linger()
 {
@@ -510,6 +526,30 @@
     notify_session();
 }
 
+bool caller_exchange::replace(const caller_response& response)
+{
+    if (output_taken_ || complete_ || abandoned_) {
+        return false;
+    }
+    output_.clear();
+    head_written_ = false;
+    chunked_ = false;
+    respond(response);
+    return true;
+}
+
+void caller_exchange::truncate()
+{
+    if (abandoned_ || complete_) {
+        return;
+    }
+    truncated_ = true;
+    complete_ = true;
+    on_abandoned_ = nullptr;
+    on_exit_ = nullptr;
+    notify_session();
+}
+
 void caller_exchange::abort_connection()
 {
     complete_ = true;
--- a/src/caller_session.hpp
+++ b/src/caller_session.hpp
@@ -91,6 +91,7 @@
     void write(std::string_view bytes);
     void flush_when_writable();
     void handle_flushed();
+    void end_truncated();
     void begin_linger();
 
     net_stream stream_;
--- a/src/event_type.hpp
+++ b/src/event_type.hpp
@@ -30,6 +30,7 @@
     attempt_failed = 202,
     call_hedged = 203,
     repeat_denied = 204,
+    answer_incomplete = 205,
     request_suspected = 210,
     request_quarantined = 211,
     request_tried = 212,
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -83,6 +83,11 @@
         "The request was not sent again: it was sent to as many upstreams as allowed, "
         "no time is left, it may have run, part of its body is gone, the retry budget is "
         "exhausted, or upstreams ended while they ran it."},
+    event_descriptor{event::answer_incomplete, event_level::warning, "calls", "answer_incomplete",
+                     "id service upstream reason status",
+                     "A large answer could not be completed: its deadline passed, or its upstream "
+                     "broke it off. The caller got status in its place; if 0, a part was sent, and "
+                     "the connection is closed behind it."},
     event_descriptor{event::request_suspected, event_level::info, "calls", "request_suspected",
                      "request upstream service",
                      "The process of the upstream ended while it ran this request, which may be "
--- a/src/tests/caller_session_test.cpp
+++ b/src/tests/caller_session_test.cpp
@@ -198,8 +198,9 @@
 
 /** A caller whose kernel holds a small part of an answer. */
 struct slow_reader_fixture {
-    explicit slow_reader_fixture(milliseconds unread_timeout)
-        : server(io, make_context(unread_timeout), 10), caller(io)
+    explicit slow_reader_fixture(milliseconds unread_timeout,
+                                 std::function<void(const exchange_ptr&)> handle = {})
+        : server(io, make_context(unread_timeout, std::move(handle)), 10), caller(io)
     {
         // At least some segments, which have 64 KB here: smaller windows open by a timer.
         constexpr int receive_buffer = 262'144;
@@ -213,12 +214,13 @@
     slow_reader_fixture(const slow_reader_fixture&) = delete;
     slow_reader_fixture& operator=(const slow_reader_fixture&) = delete;
 
-    static session_context make_context(milliseconds unread_timeout)
+    static session_context make_context(milliseconds unread_timeout,
+                                        std::function<void(const exchange_ptr&)> handle)
     {
         session_context context;
         context.unread_timeout = unread_timeout;
         context.limits.idle_timeout = milliseconds{300};
-        context.handle = [](const exchange_ptr& exchange) {
+        context.handle = handle ? handle : [](const exchange_ptr& exchange) {
             exchange->respond({200, {}, std::string(body_bytes, 'x')});
         };
         return context;
@@ -234,6 +236,7 @@
         std::string buffer(size, ' ');
         asio::error_code error;
         received += caller.read_some(asio::buffer(buffer), error);
+        end = error;
         return !error || error == asio::error::would_block;
     }
 
@@ -243,6 +246,8 @@
     caller_server server;
     asio::ip::tcp::socket caller;
     std::size_t received = 0;
+    /** Result of the last read. */
+    asio::error_code end;
 };
 
 } // namespace
@@ -280,3 +285,64 @@
     CHECK(setup.server.connections() == 0);
     CHECK(boot_clock::now() - started_at >= milliseconds{200});
 }
+
+// Guards against an answer that breaks off and takes along those before it that are not sent yet.
+TEST_CASE("a truncated answer closes its connection behind the answers before it")
+{
+    std::vector<exchange_ptr> exchanges;
+    slow_reader_fixture setup(milliseconds{5000},
+                              [&](const exchange_ptr& exchange) { exchanges.push_back(exchange); });
+    asio::write(setup.caller, asio::buffer(pipelined_requests(3)));
+    while (exchanges.size() < 3) {
+        setup.run_server(milliseconds{5});
+    }
+    int abandoned = 0;
+    exchanges[2]->on_abandoned([&] { ++abandoned; });
+    exchanges[0]->respond({200, {}, std::string(slow_reader_fixture::body_bytes, 'x')});
+    exchanges[1]->begin({200, {}, {}}, body_framing::length, 100);
+    exchanges[1]->append("a part");
+    exchanges[1]->truncate();
+    bool open = true;
+    while (open) {
+        setup.run_server(milliseconds{5});
+        open = setup.read(200'000);
+    }
+    CHECK(setup.received > slow_reader_fixture::body_bytes);
+    CHECK(abandoned == 1);
+    // The caller's side is still open, so that nothing that it has sent resets the connection.
+    CHECK(setup.end == asio::error::eof);
+    setup.caller.close();
+    while (setup.server.connections() > 0) {
+        setup.run_server(milliseconds{5});
+    }
+}
+
+TEST_CASE("an answer of which nothing was sent is replaced, another one is not")
+{
+    std::vector<exchange_ptr> exchanges;
+    slow_reader_fixture setup(milliseconds{5000},
+                              [&](const exchange_ptr& exchange) { exchanges.push_back(exchange); });
+    asio::write(setup.caller, asio::buffer(pipelined_requests(2)));
+    while (exchanges.size() < 2) {
+        setup.run_server(milliseconds{5});
+    }
+    exchanges[1]->begin({200, {}, {}}, body_framing::chunked, 0);
+    exchanges[1]->append("a part");
+    CHECK(exchanges[1]->replace({504, {}, {}}));
+    CHECK_FALSE(exchanges[1]->replace({502, {}, {}}));
+    exchanges[0]->begin({200, {}, {}}, body_framing::length, 4);
+    CHECK_FALSE(exchanges[0]->replace({504, {}, {}}));
+    exchanges[0]->append("body");
+    exchanges[0]->finish();
+    std::string received;
+    while (received.find("504 ") == std::string::npos) {
+        setup.run_server(milliseconds{5});
+        std::string piece(1000, ' ');
+        asio::error_code error;
+        piece.resize(setup.caller.read_some(asio::buffer(piece), error));
+        received += piece;
+    }
+    CHECK(received.starts_with("HTTP/1.1 200 "));
+    CHECK(received.find("a part") == std::string::npos);
+    CHECK(received.find("502") == std::string::npos);
+}
