Fix: An upload that is sent again hears of the rest of its body

Cause: the first attempt, which notices its end up to 2 ms later, took away the handler that the second one had set at the body. Ruled out: the second upstream, which was sound and waited for bytes.

Change: the handler at a body has an owner, and ends with it.

"the end of an earlier attempt leaves the handler of the next one" tests the new interface.

--- a/src/call_attempt.cpp
+++ b/src/call_attempt.cpp
@@ -170,7 +170,8 @@
     const auto body = params_.exchange->request().body;
     const auto connection = connection_;
     body_received_ = std::make_shared<async_signal>(context_.io.get_executor());
-    body->on_received([signal = body_received_] { signal->notify(); });
+    // The handler ends with this attempt, which may be after another one has set its own.
+    const auto handler = body->on_received([signal = body_received_] { signal->notify(); });
     std::size_t sent = 0;
     const auto active = [&] { return !end_ && !cancelled_ && connection->is_open(); };
     while (active()) {
@@ -197,7 +198,6 @@
             break;
         }
     }
-    body->on_received(nullptr);
 }
 
 void call_attempt::send_piece(std::string_view piece)
--- a/src/request_body.cpp
+++ b/src/request_body.cpp
@@ -19,16 +19,26 @@
     held_.append(piece);
     memory_->bytes += piece.size();
     memory_->peak_bytes = std::max(memory_->peak_bytes, memory_->bytes);
-    if (on_received_) {
-        on_received_();
-    }
+    notify_received();
 }
 
 void request_body::set_complete()
 {
     complete_ = true;
-    if (on_received_) {
-        on_received_();
+    notify_received();
+}
+
+std::shared_ptr<const void> request_body::on_received(std::function<void()> handler)
+{
+    const auto owner = std::make_shared<const std::function<void()>>(std::move(handler));
+    on_received_ = owner;
+    return owner;
+}
+
+void request_body::notify_received() const
+{
+    if (const auto handler = on_received_.lock()) {
+        (*handler)();
     }
 }
 
--- a/src/request_body.hpp
+++ b/src/request_body.hpp
@@ -52,17 +52,20 @@
     [[nodiscard]] std::string_view from(std::size_t offset) const;
     /** The bytes before @p offset were sent; they are discarded if the body is full. */
     void release(std::size_t offset);
-    /** Sets a handler that is called when bytes arrive or the body is complete. */
-    void on_received(std::function<void()> handler) { on_received_ = std::move(handler); }
+    /** Sets a handler that is called when bytes arrive or the body is complete, in place of an
+     * earlier one. @return its owner; the handler is no longer called once that is gone. */
+    [[nodiscard]] std::shared_ptr<const void> on_received(std::function<void()> handler);
 
 private:
+    void notify_received() const;
+
     std::shared_ptr<body_memory> memory_;
     std::string held_;
     /** Number of bytes discarded from the begin. */
     std::size_t first_ = 0;
     bool complete_ = false;
     std::function<void()> on_room_;
-    std::function<void()> on_received_;
+    std::weak_ptr<const std::function<void()>> on_received_;
 };
 
 using body_ptr = std::shared_ptr<request_body>;
--- a/src/tests/request_body_test.cpp
+++ b/src/tests/request_body_test.cpp
@@ -78,3 +78,29 @@
     setup.body->release(piece_size);
     CHECK(setup.body->replayable());
 }
+
+// An upload that was sent again waited until its deadline: the end of the first attempt took away
+// the handler of the second.
+TEST_CASE("the end of an earlier attempt leaves the handler of the next one")
+{
+    body_fixture setup;
+    int first_calls = 0;
+    int second_calls = 0;
+    auto first = setup.body->on_received([&] { ++first_calls; });
+    const auto second = setup.body->on_received([&] { ++second_calls; });
+    first.reset();
+    setup.body->append(piece);
+    setup.body->set_complete();
+    CHECK(first_calls == 0);
+    CHECK(second_calls == 2);
+}
+
+TEST_CASE("a handler is not called once its owner is gone")
+{
+    body_fixture setup;
+    int calls = 0;
+    auto handler = setup.body->on_received([&] { ++calls; });
+    handler.reset();
+    setup.body->append(piece);
+    CHECK(calls == 0);
+}
