Fix: An earlier entry of a process does not end its drain

Cause: a watch that begins before a page of its listing was read delivers earlier entries behind newer ones, and a stale watch may end between the two: an upstream that drains would be ready again until the next answer.

Change: an entry with a lower sequence number of the same process does not make a draining upstream ready.

Evidence: "an upstream that drains stays so if an earlier entry of its process comes late" fails on (10 usable for 9) and passes now; test_upstream passes.

--- a/src/tests/upstream_registry_test.cpp
+++ b/src/tests/upstream_registry_test.cpp
@@ -57,6 +57,25 @@
     CHECK(registry.size() == 8);
 }
 
+// A watch that begins before a page of its listing was read delivers what the upstream wrote
+// earlier.
+TEST_CASE("an upstream that drains stays so if an earlier entry of its process comes late")
+{
+    auto registry = ten_upstreams();
+    auto earlier = entry(1);
+    earlier.sequence = 4;
+    auto draining = earlier;
+    draining.sequence = 5;
+    draining.draining = true;
+    registry.put(draining, start);
+    registry.put(earlier, start);
+    CHECK(usable(registry) == 9);
+    auto restarted = entry(1, 2);
+    restarted.sequence = 1;
+    registry.put(restarted, start);
+    CHECK(usable(registry) == 10);
+}
+
 TEST_CASE("an evacuated failure domain is unusable until the evacuation ends")
 {
     auto registry = ten_upstreams();
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -15,6 +15,14 @@
  * store is not older. */
 constexpr seconds dropped_lifetime{60};
 
+/** True if the entry is what the same process wrote before it began to drain. A stale watch may
+ * deliver it behind a newer page of the listing. */
+bool precedes_drain(const upstream_entry& entry, const upstream_entry& known)
+{
+    return known.draining && !entry.draining && entry.start_time_ms == known.start_time_ms &&
+           entry.sequence < known.sequence;
+}
+
 /** True if a restored store shows an entry that is older than the one that was known before. */
 bool is_from_older_copy(const upstream_entry& entry, const upstream_entry& known)
 {
@@ -59,7 +67,7 @@
         return;
     }
     auto& item = *found->second;
-    if (is_from_older_copy(entry, item.entry)) {
+    if (is_from_older_copy(entry, item.entry) || precedes_drain(entry, item.entry)) {
         item.lapsed_until.reset();
         return;
     }
