Fix: A connection is idle once its caller has acknowledged the last byte

A caller that reads 1 MB a second was closed as one that does not read (with a limit of 0.6 s; 50 KB/s at the limit in force, 30 s), and one that goes on sending lost 2.3 of 12 MB of the answer that its connection closed with.

Cause: the kernel takes bytes in steps of up to 4 MB, so that a slow reader shows no progress for long, and what it has taken counted as delivered: the connection was closed a second later, or the process exited, and further bytes of the caller then made both kernels drop the rest.

Change: progress is what the caller's kernel has acknowledged (SIOCOUTQ), checked each tick; the idle time, the wait for the caller's close and the exit (within the grace period) begin when nothing is unacknowledged.

--- a/src/caller_session.cpp
+++ b/src/caller_session.cpp
@@ -72,17 +72,37 @@
 
 void caller_session::close_if_expired(local_time now)
 {
-    const auto deadline = stream_.flushed() ? deadline_ : unread_deadline_;
-    if (closed_ || !exchanges_.empty() || now <= deadline) {
+    if (closed_ || !exchanges_.empty() || awaits_delivery(now) || now <= deadline_) {
         return;
     }
-    if (stream_.flushed() && parser_.started() && !lingering_ && !no_more_requests_) {
+    if (parser_.started() && !lingering_ && !no_more_requests_) {
         reject(http_status::request_timeout);
         return;
     }
     close();
 }
 
+/** True while written bytes are undelivered and the caller reads some in time; closes the
+ * connection if it does not. A process that exits, or input that comes after a close, would lose
+ * them. */
+bool caller_session::awaits_delivery(local_time now)
+{
+    if (undelivered_ == 0) {
+        return false;
+    }
+    const auto before = std::exchange(undelivered_, stream_.undelivered());
+    if (undelivered_ == 0) {
+        set_idle_deadline(now);
+    }
+    else if (undelivered_ < before) {
+        unread_deadline_ = now + shared_->unread_timeout;
+    }
+    else if (now > unread_deadline_) {
+        close();
+    }
+    return undelivered_ > 0;
+}
+
 bool caller_session::busy(local_time now) const
 {
     if (closed_) {
@@ -92,8 +112,7 @@
     const bool receiving = parser_.started() || !unparsed_.empty();
     // A process that exits while input is unread resets the connection, and the caller may lose
     // what it has not read yet.
-    return lingering_ || !exchanges_.empty() || !stream_.flushed() || receiving ||
-           first_request_due;
+    return lingering_ || !exchanges_.empty() || undelivered_ > 0 || receiving || first_request_due;
 }
 
 void caller_session::close_if_idle(local_time now)
@@ -388,9 +407,10 @@
 void caller_session::write(std::string_view bytes)
 {
     asio::error_code error;
-    if (stream_.flushed()) {
+    if (undelivered_ == 0) {
         unread_deadline_ = boot_clock::now() + shared_->unread_timeout;
     }
+    undelivered_ += bytes.size();
     stream_.write({&bytes, 1}, error);
     if (error) {
         close();
@@ -411,7 +431,6 @@
             return;
         }
         asio::error_code flush_error = error;
-        const auto unsent = self->stream_.unsent();
         if (!flush_error) {
             self->stream_.flush(flush_error);
         }
@@ -419,9 +438,6 @@
             self->close();
             return;
         }
-        if (self->stream_.unsent() < unsent) {
-            self->unread_deadline_ = boot_clock::now() + self->shared_->unread_timeout;
-        }
         if (self->stream_.flushed()) {
             self->handle_flushed();
         }
@@ -433,11 +449,17 @@
 void caller_session::handle_flushed()
 {
     stream_.release_memory();
-    const auto now = boot_clock::now();
     if (lingering_) {
-        deadline_ = now + linger_timeout;
         stream_.shutdown_send();
     }
+}
+
+/** Called once the last byte is delivered: from now on the connection is idle, or lingers. */
+void caller_session::set_idle_deadline(local_time now)
+{
+    if (lingering_) {
+        deadline_ = now + linger_timeout;
+    }
     else if (!parser_.started()) {
         // The time for a head that has begun to arrive goes on.
         deadline_ = now + shared_->limits.idle_timeout;
--- a/src/caller_session.hpp
+++ b/src/caller_session.hpp
@@ -29,9 +29,7 @@
     /** Connections are closed after the response to their last request in progress, and no further
      * request is read before it. */
     bool draining = false;
-    /** A connection is closed if its caller reads nothing for this time while bytes are unsent. The
-     * kernel accepts more only once a part of its buffer is free, so that a slow reader shows
-     * progress every few seconds. */
+    /** A connection is closed if its caller reads nothing for this time while bytes are due. */
     milliseconds unread_timeout{30'000};
     /** Header that carries a request id; echoed in responses that the VM generates itself. */
     std::string_view id_header;
@@ -84,6 +82,7 @@
     void dispatch();
     void end_request();
     [[nodiscard]] bool may_parse() const;
+    bool awaits_delivery(local_time now);
     void resume_parsing();
     void reject_streaming(int status);
     void reject(int status);
@@ -91,6 +90,7 @@
     void write(std::string_view bytes);
     void flush_when_writable();
     void handle_flushed();
+    void set_idle_deadline(local_time now);
     void end_truncated();
     void begin_linger();
 
@@ -107,10 +107,12 @@
      */
     std::string unparsed_;
     std::deque<exchange_ptr> exchanges_;
-    /** Counts while everything is sent: until then the connection may be idle, or linger. */
+    /** Counts while everything is delivered: until then the connection may be idle, or linger. */
     local_time deadline_;
-    /** Counts while bytes are unsent: until then the caller has to read some. */
+    /** Counts while bytes are undelivered: until then the caller has to read some. */
     local_time unread_deadline_;
+    /** Bytes that were undelivered at the last check, and those written since. */
+    std::size_t undelivered_ = 0;
     local_time accepted_at_;
     /** A request has been received completely, or enough of it to dispatch it. */
     bool had_request_ = false;
--- a/src/net_stream.cpp
+++ b/src/net_stream.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -22,6 +23,13 @@
 /** The connection is dropped if sent bytes stay unacknowledged for this time. */
 constexpr int unacknowledged_timeout_ms = 2500;
 
+/** Socket control that reads the number of bytes in the kernel's send queue. */
+struct send_queue_size {
+    int value = 0;
+    [[nodiscard]] static constexpr int name() { return SIOCOUTQ; }
+    [[nodiscard]] void* data() { return &value; }
+};
+
 bool is_would_block(const asio::error_code& error)
 {
     return error == asio::error::would_block || error == asio::error::try_again;
@@ -110,6 +118,14 @@
     }
 }
 
+std::size_t net_stream::undelivered()
+{
+    send_queue_size queued;
+    asio::error_code error;
+    socket_.io_control(queued, error);
+    return unsent() + static_cast<std::size_t>(error ? 0 : std::max(queued.value, 0));
+}
+
 void net_stream::release_memory()
 {
     std::string{}.swap(unsent_);
--- a/src/net_stream.hpp
+++ b/src/net_stream.hpp
@@ -64,6 +64,9 @@
     void flush(asio::error_code& error);
     /** Number of bytes that the kernel has not accepted yet. */
     [[nodiscard]] std::size_t unsent() const { return unsent_.size() - unsent_offset_; }
+    /** Number of bytes that the peer has not acknowledged yet, unsent ones included. Its kernel
+     * acknowledges what fits its buffer, so that this falls while the peer reads. */
+    [[nodiscard]] std::size_t undelivered();
     /** True if no bytes are unsent. */
     [[nodiscard]] bool flushed() const { return unsent_offset_ == unsent_.size(); }
     /** Frees the buffer for unsent bytes; call it only if flushed(). */
--- a/src/tests/caller_session_test.cpp
+++ b/src/tests/caller_session_test.cpp
@@ -270,6 +270,45 @@
     CHECK(boot_clock::now() - started_at > milliseconds{1500});
 }
 
+// Guards against a slow reader that is taken for one that does not read, as the kernel accepts more
+// only once a large part of its buffer is free.
+TEST_CASE("a caller that reads very slowly is not closed while it reads")
+{
+    // Its kernel opens the window in steps of 128 KB or less, which it reads in 0.13 s.
+    slow_reader_fixture setup(milliseconds{600});
+    asio::write(setup.caller, asio::buffer(get_request));
+    const auto started_at = boot_clock::now();
+    bool open = true;
+    while (open && boot_clock::now() - started_at < seconds{4}) {
+        setup.run_server(milliseconds{10});
+        open = setup.read(10'000);
+    }
+    CHECK(open);
+    CHECK(setup.received > 0);
+    CHECK(setup.server.connections() == 1);
+}
+
+// Guards against a close that the caller answers with a reset of what it has not read yet: it
+// always has further bytes on their way.
+TEST_CASE(
+    "the end of an answer that only the kernel still holds reaches a caller that goes on sending")
+{
+    slow_reader_fixture setup(milliseconds{5000});
+    asio::write(setup.caller,
+                asio::buffer("GET / HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n"));
+    bool open = true;
+    while (open) {
+        setup.run_server(milliseconds{20});
+        asio::error_code ignored;
+        setup.caller.write_some(asio::buffer("x", 1), ignored);
+        // After what the kernel holds, the connection lingers for a second.
+        open =
+            setup.read(setup.received < slow_reader_fixture::body_bytes * 7 / 10 ? 80'000 : 25'000);
+    }
+    CHECK(setup.received > slow_reader_fixture::body_bytes);
+    CHECK(setup.end == asio::error::eof);
+}
+
 // Guards against callers that hold the memory of their answers for ever.
 TEST_CASE("a caller that does not read at all is closed after a time without progress")
 {
