--- a/src/caller_session.hpp
+++ b/src/caller_session.hpp
@@ -92,6 +92,7 @@
     void handle_flushed();
     void set_idle_deadline(local_time now);
     void end_truncated();
+    void abandon_requests_later();
     void begin_linger();
 
     net_stream stream_;
